--- /dev/null
+++ b/cmd/micafront/main.go
@@ -0,0 +1,69 @@
+// Command micafront is the proxy: it places clients' long-lived connections on next hops.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"example.org/loompick/internal/config"
+	"example.org/loompick/internal/proxy"
+)
+
+func main() {
+	flag.Usage = func() {
+		fmt.Fprintln(os.Stderr, "usage: micafront\nIt is told by EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONFIG.")
+	}
+	flag.Parse()
+	if flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "micafront:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	limit(c)
+	p, err := proxy.New(c, os.Stderr)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				_ = p.Print(os.Stderr)
+			} else {
+				_ = p.Stop()
+			}
+		}
+	}()
+	fmt.Fprintf(os.Stderr, "micafront: %s serves at %s\n", c.Name, p.Addr())
+	return p.Run()
+}
+
+// limit keeps the process under its limits by itself: collecting garbage is better than being killed, and a
+// refused descriptor better than one too many.
+func limit(c *config.Config) {
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+	}
+	if c.Sockets > 0 {
+		var r syscall.Rlimit
+		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && uint64(c.Sockets) < r.Cur {
+			r.Cur = uint64(c.Sockets)
+			_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,86 @@
+// Package config reads what a proxy is told at its start: the EDGE_* variables and the JSON configuration.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"example.org/loompick"
+	"example.org/loompick/internal/registry"
+	"example.org/loompick/internal/wire"
+	jsoniter "github.com/json-iterator/go"
+)
+
+// Config is all that a proxy knows at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	MemoryMB, Sockets       int
+	Known                   registry.List
+	Settings                loompick.Settings
+}
+
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Known    jsoniter.RawMessage `json:"known"`
+	Settings jsoniter.RawMessage `json:"settings"`
+}
+
+// Load reads the environment and the file that EDGE_CONFIG names. The variables have the last word.
+func Load(env func(string) string) (*Config, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	var f file
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("%s: not valid: %w", path, err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, MemoryMB: f.Limits.MemoryMB,
+		Sockets: f.Limits.Sockets}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+		if s := env(v.name); s != "" {
+			*v.to = s
+		}
+		if *v.to == "" {
+			return nil, fmt.Errorf("%s is not set, and %s does not tell it", v.name, path)
+		}
+	}
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		host, port, err := net.SplitHostPort(a.addr)
+		if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || net.ParseIP(host) == nil ||
+			a.name == "discovery" && n == 0 {
+			return nil, fmt.Errorf("%s address %q is not a numeric address and port", a.name, a.addr)
+		}
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("%s: seed %q is not a 64-bit number in hexadecimal", path, f.Seed)
+	}
+	if c.MemoryMB < 0 || c.Sockets < 0 {
+		return nil, fmt.Errorf("%s: a limit is negative", path)
+	}
+	if c.Known, err = registry.ParseList(f.Known); err != nil {
+		return nil, fmt.Errorf("%s: known: %w", path, err)
+	}
+	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/evloop/conn.go
@@ -0,0 +1,240 @@
+package evloop
+
+import (
+	"io"
+	"os"
+
+	"github.com/panjf2000/gnet/v2/pkg/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// Handler hears what happens on a connection.
+type Handler interface {
+	Opened()      // a dialled connection is up
+	Data([]byte)  // bytes came; they are valid during the call only
+	Ended()       // the peer ended its sending
+	Drained()     // all output has gone to the kernel after some had to wait
+	Closed(error) // the connection broke, or never came up; not called after Close or Abort
+}
+
+// Conn is a stream connection, edge-triggered in both directions for its whole life.
+type Conn struct {
+	loop     *Loop
+	fd       int
+	h        Handler
+	out      []byte // what the kernel would not take yet
+	dialling bool
+	writable bool
+	readable bool // an edge was seen that has not been read to its end
+	paused   bool
+	hup      bool // an end or an error is to be read
+	ended    bool // the peer ended its sending
+	finish   bool // our sending ends once out is empty
+	finished bool
+	closed   bool
+}
+
+func (c *Conn) add() error {
+	_ = unix.SetsockoptInt(c.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c.loop.conns[c.fd] = c
+	err := c.loop.poller.AddReadWrite(&netpoll.PollAttachment{FD: c.fd}, true)
+	if err != nil {
+		delete(c.loop.conns, c.fd)
+	}
+	return err
+}
+
+// SetHandler hands the connection to another handler.
+func (c *Conn) SetHandler(h Handler) { c.h = h }
+
+// Pending is how many bytes wait for the kernel.
+func (c *Conn) Pending() int { return len(c.out) }
+
+// IsEnded tells that the peer has ended its sending.
+func (c *Conn) IsEnded() bool { return c.ended }
+
+const errEvents = unix.EPOLLERR | unix.EPOLLHUP
+
+func (c *Conn) ready(ev netpoll.IOEvent) {
+	if c.dialling {
+		errno, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err == nil && errno != 0 {
+			err = unix.Errno(errno)
+		}
+		switch {
+		case err != nil:
+			c.broke(os.NewSyscallError("connect", err))
+			return
+		case ev&(unix.EPOLLOUT|errEvents) == 0:
+			return
+		case ev&unix.EPOLLOUT == 0:
+			c.broke(io.ErrUnexpectedEOF)
+			return
+		}
+		// A descriptor closed in this batch may have come back as this one: the event is then of the old one.
+		if _, err := unix.Getpeername(c.fd); err != nil {
+			return
+		}
+		c.dialling, c.writable = false, true
+		c.h.Opened()
+	}
+	if c.closed {
+		return
+	}
+	if ev&(unix.EPOLLOUT|errEvents) != 0 {
+		c.writable = true
+		waited := len(c.out) > 0
+		if c.flush(); c.closed {
+			return
+		}
+		if waited && len(c.out) == 0 {
+			if c.h.Drained(); c.closed {
+				return
+			}
+		}
+	}
+	if ev&(unix.EPOLLIN|unix.EPOLLPRI|unix.EPOLLRDHUP|errEvents) != 0 {
+		c.readable = true
+		c.hup = c.hup || ev&(unix.EPOLLRDHUP|errEvents) != 0
+		c.read()
+	}
+}
+
+// readTurn bounds what one connection may bring in a turn, so that a flood cannot starve the others.
+const readTurn = 4
+
+func (c *Conn) read() {
+	for range readTurn {
+		if c.closed || c.paused || c.ended || !c.readable {
+			return
+		}
+		n, err := unix.Read(c.fd, c.loop.buf)
+		switch {
+		case err == unix.EINTR:
+		case err == unix.EAGAIN:
+			c.readable = false
+		case err != nil:
+			c.broke(os.NewSyscallError("read", err))
+		case n == 0:
+			c.ended = true
+			c.h.Ended()
+		default:
+			if n < len(c.loop.buf) && !c.hup {
+				c.readable = false // the kernel has no more; what comes later is a new edge
+			}
+			c.h.Data(c.loop.buf[:n])
+		}
+	}
+	if c.readable {
+		c.later()
+	}
+}
+
+func (c *Conn) later() {
+	_ = c.loop.Post(func() { c.read() })
+}
+
+// Pause stops reading; what the peer sends waits in the kernel.
+func (c *Conn) Pause() { c.paused = true }
+
+// Resume reads again.
+func (c *Conn) Resume() {
+	if c.paused {
+		c.paused = false
+		c.later()
+	}
+}
+
+// Write sends b, keeping what the kernel will not take now. It reports a break through Closed in a later turn
+// only, so that callers need not expect to be closed under their hands.
+func (c *Conn) Write(b []byte) {
+	if c.closed || c.finish || len(b) == 0 {
+		return
+	}
+	if len(c.out) == 0 && c.writable {
+		n, err := c.send(b)
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		b = b[n:]
+	}
+	if len(b) > 0 {
+		c.out = append(c.out, b...)
+	}
+}
+
+func (c *Conn) send(b []byte) (sent int, err error) {
+	for sent < len(b) {
+		n, err := unix.Write(c.fd, b[sent:])
+		switch err {
+		case nil:
+			sent += n
+		case unix.EINTR:
+		case unix.EAGAIN:
+			c.writable = false
+			return sent, nil
+		default:
+			return sent, os.NewSyscallError("write", err)
+		}
+	}
+	return sent, nil
+}
+
+func (c *Conn) flush() {
+	if len(c.out) > 0 && c.writable {
+		n, err := c.send(c.out)
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		if n == len(c.out) {
+			c.out = nil
+		} else if n > 0 {
+			c.out = append(c.out[:0], c.out[n:]...)
+		}
+	}
+	if c.finish && !c.finished && len(c.out) == 0 {
+		c.finished = true
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+}
+
+func (c *Conn) fail(err error) {
+	c.writable, c.out = false, nil
+	_ = c.loop.Post(func() { c.broke(err) })
+}
+
+// CloseWrite ends our sending once all output has gone.
+func (c *Conn) CloseWrite() {
+	if !c.closed && !c.finish {
+		c.finish = true
+		c.flush()
+	}
+}
+
+func (c *Conn) broke(err error) {
+	if c.closed {
+		return
+	}
+	c.Close()
+	c.h.Closed(err)
+}
+
+// Close ends the connection at once; output that still waits is lost.
+func (c *Conn) Close() {
+	if c.closed {
+		return
+	}
+	c.closed, c.out = true, nil
+	delete(c.loop.conns, c.fd)
+	_ = unix.Close(c.fd) // leaves the poller by itself
+}
+
+// Abort ends the connection with a reset.
+func (c *Conn) Abort() {
+	if !c.closed {
+		_ = unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/line/line.go
@@ -0,0 +1,193 @@
+// Package line is the text protocol of clients and next hops: lines that end in CRLF.
+package line
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+)
+
+// Max is the longest line, its CRLF included.
+const Max = 4 << 10
+
+// What the proxy says itself.
+var (
+	Pong      = []byte("PONG\r\n")
+	Busy      = []byte("BUSY\r\n")
+	Err       = []byte("ERR\r\n")
+	Malformed = []byte("ERR SYNTAX\r\n")
+	Move      = []byte("MOVE\r\n")
+)
+
+// AppendBusy appends a defer with the time after which to come again.
+func AppendBusy(b []byte, after time.Duration) []byte {
+	if after <= 0 {
+		return append(b, Busy...)
+	}
+	b = append(b, "BUSY "...)
+	b = strconv.AppendInt(b, int64((after+time.Millisecond-1)/time.Millisecond), 10)
+	return append(b, "\r\n"...)
+}
+
+// Cut takes the first whole line off b, its end included.
+func Cut(b []byte) (line, rest []byte, ok bool) {
+	i := bytes.IndexByte(b, '\n')
+	if i < 0 {
+		return nil, b, false
+	}
+	return b[:i+1], b[i+1:], true
+}
+
+// Last is how many bytes of b are whole lines.
+func Last(b []byte) int { return bytes.LastIndexByte(b, '\n') + 1 }
+
+func trim(b []byte) []byte { return bytes.TrimSuffix(bytes.TrimSuffix(b, []byte("\n")), []byte("\r")) }
+
+func word(b []byte) (first, rest []byte) {
+	if i := bytes.IndexByte(b, ' '); i >= 0 {
+		return b[:i], b[i+1:]
+	}
+	return b, nil
+}
+
+// Open holds the fields of a first line that decisions need. The line itself goes on as it came.
+type Open struct {
+	Raw     []byte // the whole line, CRLF included
+	Key     string
+	Class   string
+	Group   string
+	At      string // a connection that was open at this next hop before
+	Wait    time.Duration
+	HasWait bool
+	Hint    float64
+	Repeat  bool
+	Again   bool
+	MidFlow bool
+
+	waitFrom, waitTo int // where the value of d lies in Raw
+}
+
+// ErrSyntax means that a line is no first line of this protocol.
+var ErrSyntax = errors.New("not a first line")
+
+// maxWait bounds what a client may ask for; beyond it the figure makes no sense.
+const maxWait = time.Hour
+
+// IsPing tells a readiness check.
+func IsPing(b []byte) bool { return string(trim(b)) == "PING" }
+
+// ParseOpen reads a first line. It keeps no part of b but Raw.
+func ParseOpen(b []byte) (Open, error) {
+	o := Open{Raw: b}
+	if !bytes.HasSuffix(b, []byte("\r\n")) {
+		return o, ErrSyntax
+	}
+	text := trim(b)
+	verb, rest := word(text)
+	id, rest := word(rest)
+	key, list := word(rest)
+	if string(verb) != "OPEN" || len(id) == 0 || len(key) == 0 || bytes.IndexByte(list, ' ') >= 0 {
+		return o, ErrSyntax
+	}
+	for _, c := range text {
+		if c < ' ' || c == 0x7f {
+			return o, ErrSyntax
+		}
+	}
+	o.Key = string(key)
+	at := len(text) - len(list)
+	for len(list) > 0 {
+		pair := list
+		if i := bytes.IndexByte(list, ','); i >= 0 {
+			pair, list = list[:i], list[i+1:]
+		} else {
+			list = nil
+		}
+		next := at + len(pair) + 1
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok {
+			return o, ErrSyntax
+		}
+		switch string(name) {
+		case "c":
+			o.Class = string(value)
+		case "g":
+			o.Group = string(value)
+		case "at":
+			o.At = string(value)
+		case "r":
+			o.Repeat = string(value) == "1"
+		case "again":
+			o.Again = string(value) == "1"
+		case "mid":
+			o.MidFlow = string(value) == "1"
+		case "d":
+			ms, err := strconv.ParseInt(string(value), 10, 64)
+			if err != nil || ms < 0 || o.HasWait {
+				return o, ErrSyntax
+			}
+			o.HasWait = true
+			o.Wait = min(time.Duration(min(ms, maxWait.Milliseconds()))*time.Millisecond, maxWait)
+			o.waitFrom, o.waitTo = at+len(name)+1, at+len(pair)
+		case "h":
+			h, err := strconv.ParseFloat(string(value), 64)
+			if err != nil || !(h >= 0) || math.IsInf(h, 0) {
+				return o, ErrSyntax
+			}
+			o.Hint = h
+		}
+		at = next
+	}
+	if o.Class == "" {
+		return o, ErrSyntax
+	}
+	return o, nil
+}
+
+// AppendFirst appends the line as it goes to a next hop: d states how long the proxy will wait, and every
+// other byte is as it came.
+func (o *Open) AppendFirst(b []byte, wait time.Duration) []byte {
+	if !o.HasWait {
+		return append(b, o.Raw...)
+	}
+	b = append(b, o.Raw[:o.waitFrom]...)
+	b = strconv.AppendInt(b, max(wait.Milliseconds(), 1), 10)
+	return append(b, o.Raw[o.waitTo:]...)
+}
+
+// Answer is what a line from a next hop means.
+type Answer int
+
+const (
+	Other Answer = iota
+	Up
+	Bye
+	Moved
+	Error
+	Full
+	Load
+)
+
+// ParseAnswer reads a line from a next hop.
+func ParseAnswer(b []byte) (Answer, float64) {
+	verb, rest := word(trim(b))
+	switch string(verb) {
+	case "UP":
+		return Up, 0
+	case "BYE":
+		return Bye, 0
+	case "MOVE":
+		return Moved, 0
+	case "ERR":
+		return Error, 0
+	case "BUSY":
+		return Full, 0
+	case "LOAD":
+		if x, err := strconv.ParseFloat(string(rest), 64); err == nil && x >= 0 && !math.IsInf(x, 0) {
+			return Load, x
+		}
+	}
+	return Other, 0
+}
--- /dev/null
+++ b/internal/proxy/protocol.go
@@ -0,0 +1,49 @@
+package proxy
+
+import "time"
+
+// Protocol is all that the stages know of the text on the sockets. A second protocol goes through the same
+// stages, decisions and rules by another implementation.
+type Protocol interface {
+	// Greet reads the start of what a client sent: n bytes are used up, 0 where more must come. Either o
+	// or reply is set: a request, or the answer to a readiness check, after which another greeting may
+	// come.
+	Greet(b []byte) (n int, o *Opening, reply []byte, err error)
+	// Whole is how many bytes of b are whole messages.
+	Whole(b []byte) int
+	// Cut takes the first message off b, which holds whole messages.
+	Cut(b []byte) (message, rest []byte)
+	// Read tells what a message of a next hop means; x is the load where it tells one.
+	Read(message []byte) (s Sign, x float64)
+
+	Defer(after time.Duration) []byte // a final answer: come again after this
+	Fail() []byte                     // a final answer that promises nothing
+	Malformed() []byte                // the answer to what is not understood
+	Move() []byte                     // sends an open connection's client away politely
+	MaxMessage() int
+}
+
+// Opening is a client's request: the fields that decisions need, and its bytes.
+type Opening struct {
+	Class, Key, Group      string
+	Standing               string // the next hop where the connection was open before
+	Wait                   time.Duration
+	HasWait                bool
+	Hint                   float64
+	Repeat, Again, MidFlow bool
+	// Forward gives the bytes for a next hop; they tell it how long the proxy will wait.
+	Forward func(wait time.Duration) []byte
+}
+
+// Sign is what a message from a next hop means.
+type Sign int
+
+const (
+	SignOther Sign = iota
+	SignUp         // the connection stands
+	SignBye        // it is served to its end
+	SignMove       // the next hop sends the client away
+	SignError
+	SignFull
+	SignLoad
+)
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,150 @@
+// Package proxy holds clients' connections to next hops. One event loop owns the decision module and all state,
+// so there are no locks. A request passes six stages, a file each: take in, admit, route, send, relay, book.
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"example.org/loompick"
+	"example.org/loompick/internal/config"
+	"example.org/loompick/internal/counters"
+	"example.org/loompick/internal/evloop"
+	"example.org/loompick/internal/registry"
+)
+
+var errOverlong = errors.New("message too long")
+
+// Proxy is one running proxy.
+type Proxy struct {
+	loop     *evloop.Loop
+	listener *evloop.Listener
+	protocol Protocol
+	module   *loompick.Balancer
+	set      loompick.Settings
+	registry *registry.Client
+	sockets  int // descriptors that may be open; 0: as many as the system gives
+	log      io.Writer
+	count    counters.Counters
+
+	news    []loompick.Event // for the module
+	turning bool
+
+	flows   map[string]*flow // by the id that the module knows
+	lastID  uint64
+	hops    map[string]*hop // the transport map
+	zones   map[string]time.Duration
+	open    []*flow // connections that stand
+	sweepAt time.Duration
+
+	stopping    bool
+	lastTakenIn time.Duration
+}
+
+// hop is a next hop: its entry in the transport map, and how long its messages take.
+type hop struct {
+	id, addr, zone string
+	samples        []time.Duration
+	late           bool // told to the module as slow
+}
+
+// flow is one client's request and, once it is up, its connection.
+type flow struct {
+	p        *Proxy
+	id       string
+	opening  *Opening // until the connection stands
+	class    string
+	client   *evloop.Conn // nil once the sender side is done with
+	in       []byte       // of the client: not yet understood, or early
+	deadline time.Duration
+	answered bool // the final answer is out, or the client is gone
+	attempt  *attempt
+	attempts int
+	limit    *evloop.Timer
+
+	place     int           // in Proxy.open; -1: does not stand
+	asked     time.Duration // when the oldest message without an answer went to the next hop; 0: none
+	stuck     time.Duration // since when output has waited; 0: none does
+	clientEnd bool          // the client ended its sending
+}
+
+// New makes a proxy that listens but does not run yet.
+func New(c *config.Config, log io.Writer) (*Proxy, error) {
+	module, err := loompick.New(c.Settings, c.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	loop, err := evloop.New()
+	if err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	p := &Proxy{loop: loop, protocol: Text{}, module: module, set: c.Settings, sockets: c.Sockets, log: log,
+		flows: map[string]*flow{}, hops: map[string]*hop{}, zones: map[string]time.Duration{}}
+	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation,
+		Heard: p.hearList, Failed: p.listFailed}
+	if p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed); err != nil {
+		return nil, err
+	}
+	p.hearList(c.Known, loompick.SavedList)
+	p.sweep()
+	return p, nil
+}
+
+// Addr is where the proxy listens.
+func (p *Proxy) Addr() string { return p.listener.Addr() }
+
+// Run serves until the proxy has stopped.
+func (p *Proxy) Run() error { return p.loop.Run() }
+
+// Print writes the counters. It may be called from any goroutine while the proxy runs.
+func (p *Proxy) Print(w io.Writer) error { return p.loop.Post(func() { p.printNow(w) }) }
+
+func (p *Proxy) printNow(w io.Writer) {
+	p.count.OpenNow = counters.Counter(len(p.open))
+	p.count.Print(w)
+}
+
+const (
+	stopArrivals = 700 * time.Millisecond  // arrivals go on for up to 0.4 s after the signal
+	stopQuiet    = 300 * time.Millisecond  // and none must have come for this long
+	stopLast     = 3300 * time.Millisecond // the kill comes 3.7 s after the signal, or later
+	stopStep     = 50 * time.Millisecond
+)
+
+// Stop ends the proxy in an orderly way: what still arrives is accepted and answered, requests in flight are
+// settled, and every open connection's client is told to move, at an even pace. It may be called from any
+// goroutine.
+func (p *Proxy) Stop() error {
+	return p.loop.Post(func() {
+		if p.stopping {
+			return
+		}
+		p.stopping = true
+		p.stopTurn(p.loop.Now())
+	})
+}
+
+func (p *Proxy) stopTurn(since time.Duration) {
+	now := p.loop.Now()
+	past := now - since
+	if past >= stopArrivals/2 {
+		// All are gone a second before the end, so that those placed late can follow.
+		steps := max((stopLast-time.Second-past)/stopStep, 1)
+		for n := (len(p.open) + int(steps) - 1) / int(steps); n > 0 && len(p.open) > 0; n-- {
+			p.count.MovesStop++
+			p.move(p.open[0], loompick.Cancelled)
+		}
+	}
+	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
+	if quiet && len(p.flows) == 0 || past >= stopLast {
+		p.listener.Close()
+		if len(p.flows) == 0 || past >= stopLast+stopQuiet {
+			p.printNow(p.log)
+			_ = p.loop.Stop()
+			return
+		}
+	}
+	p.loop.After(stopStep, func() { p.stopTurn(since) })
+}
--- /dev/null
+++ b/internal/proxy/relay.go
@@ -0,0 +1,257 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"example.org/loompick"
+	"example.org/loompick/internal/counters"
+)
+
+// Relay: a connection that stands. Messages pass both ways unchanged; how long they take tells how the next
+// hop fares.
+
+func counter(n int) counters.Counter { return counters.Counter(n) }
+
+// maxHeld is how much output may wait for a slow peer before the other side is no longer read.
+const maxHeld = 16 << 10
+
+// stand makes the connection the next hop's.
+func (f *flow) stand(a *attempt) {
+	p := f.p
+	p.loop.Cancel(a.limit)
+	p.count.Up++
+	p.count.Served++
+	f.place = len(p.open)
+	p.open = append(p.open, f)
+	f.answered = true
+	if standing := f.opening.Standing; standing != "" {
+		p.tell(loompick.Open{Request: p.request(f), Server: standing})
+	} else {
+		p.tell(loompick.First{ID: f.id, Server: a.hop.id, Attempt: a.no, Latency: p.loop.Now() - a.sentAt})
+	}
+	f.opening, f.stuck = nil, 0
+	if f.in != nil {
+		early := f.in
+		f.in = nil
+		f.toNextHop(early)
+		f.client.Resume()
+	}
+}
+
+func (f *flow) toNextHop(b []byte) {
+	a := f.attempt
+	f.p.count.BytesToNextHops += counter(len(b))
+	if f.asked == 0 && f.p.protocol.Whole(b) > 0 {
+		f.asked = f.p.loop.Now()
+	}
+	if a.conn.Write(b); a.conn.Pending() > maxHeld {
+		f.client.Pause()
+	}
+}
+
+// fromNextHop passes whole messages on; the start of one waits for its end, so that a move never cuts into a
+// message.
+func (a *attempt) fromNextHop(b []byte) {
+	f, p := a.f, a.f.p
+	if len(a.tail) > 0 {
+		a.tail = append(a.tail, b...)
+		b, a.tail = a.tail, nil
+	}
+	n := p.protocol.Whole(b)
+	for rest := b[:n]; len(rest) > 0; {
+		var m []byte
+		m, rest = p.protocol.Cut(rest)
+		sign, x := p.protocol.Read(m)
+		switch a.last = sign; sign {
+		case SignLoad:
+			p.count.LoadNotes++
+			p.tell(loompick.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
+		case SignOther:
+			f.answeredMessage()
+		}
+	}
+	if f.attempt != a { // the module moved the client meanwhile
+		return
+	}
+	if f.client != nil && n > 0 {
+		p.count.BytesToClients += counter(n)
+		if f.client.Write(b[:n]); f.client.Pending() > maxHeld {
+			a.conn.Pause()
+		}
+	}
+	if len(b)-n > p.protocol.MaxMessage() {
+		p.count.Overlong++
+		p.move(f, loompick.Reset)
+		return
+	}
+	a.tail = append(a.tail[:0:0], b[n:]...)
+}
+
+// clientEnded passes on that the client ended its sending; what the next hop still says is relayed.
+func (f *flow) clientEnded() {
+	f.clientEnd = true
+	f.attempt.conn.CloseWrite()
+	a := f.attempt
+	a.limit = f.p.loop.After(halfOpenTime, func() { f.part(loompick.Cancelled, nil) })
+}
+
+// halfOpenTime is how long a next hop may still talk to a client that ended its sending.
+const halfOpenTime = 5 * time.Second
+
+func (f *flow) clientBroke() {
+	f.attempt.conn.Abort()
+	f.part(loompick.Cancelled, nil)
+}
+
+// ending is how a connection that the next hop ended has ended.
+func (f *flow) ending() loompick.Status {
+	switch {
+	case f.attempt.last == SignBye:
+		return loompick.OK
+	case f.attempt.last == SignMove || f.clientEnd:
+		return loompick.Cancelled
+	}
+	return loompick.Reset
+}
+
+func (f *flow) hopEnded() {
+	f.p.count.Ended++
+	f.part(f.ending(), f.attempt.tail)
+}
+
+func (f *flow) hopBroke() {
+	f.p.count.Ended++
+	status := f.ending()
+	if f.client != nil && f.client.Pending() == 0 && status == loompick.Reset {
+		f.client.Abort() // in the same manner
+		f.client = nil
+	}
+	f.part(status, nil)
+}
+
+// move sends the client away politely and leaves the next hop.
+func (p *Proxy) move(f *flow, s loompick.Status) { f.part(s, p.protocol.Move()) }
+
+// part ends both sides of a connection that stands, the sender side with a last message.
+func (f *flow) part(s loompick.Status, last []byte) {
+	p, a := f.p, f.attempt
+	p.open[f.place] = p.open[len(p.open)-1]
+	p.open[f.place].place = f.place
+	p.open[len(p.open)-1] = nil
+	p.open = p.open[:len(p.open)-1]
+	f.place = -1
+	f.endClient(last)
+	a.end(s)
+}
+
+const (
+	sweepEvery = 250 * time.Millisecond
+	noteEvery  = time.Second
+	// A connection on which nothing comes back from a running next hop is given up within 7 s of its silence:
+	// clients send every 2 s, and the oldest message may be this old, and a sweep older.
+	silentAfter = 4 * time.Second
+	stuckAfter  = 10 * time.Second
+)
+
+// answeredMessage takes the time of a message. A next hop's answers come in the order of the messages.
+func (f *flow) answeredMessage() {
+	if f.asked == 0 {
+		return
+	}
+	took := f.p.loop.Now() - f.asked
+	f.asked = 0
+	h := f.attempt.hop
+	h.samples = append(h.samples, took)
+	if floor, ok := f.p.zones[h.zone]; !ok || took < floor {
+		f.p.zones[h.zone] = took
+	}
+}
+
+// sweep looks at all connections: it leaves silent next hops and tells the module of slow ones.
+func (p *Proxy) sweep() {
+	now := p.loop.Now()
+	p.loop.After(sweepEvery, p.sweep)
+	for _, f := range slices.Clone(p.open) {
+		if f.place < 0 {
+			continue
+		}
+		waiting := f.client.Pending() > 0 || f.attempt.conn.Pending() > 0
+		switch {
+		case f.asked != 0 && now-f.asked >= silentAfter:
+			p.count.MovesSilent++
+			p.move(f, loompick.Reset)
+		case !waiting:
+			f.stuck = 0
+		case f.stuck == 0:
+			f.stuck = now
+		case now-f.stuck >= stuckAfter:
+			p.count.SlowPeers++
+			f.attempt.conn.Abort()
+			f.part(loompick.Cancelled, nil)
+		}
+	}
+	if now-p.sweepAt >= noteEvery {
+		p.sweepAt = now
+		p.noteDelays(now)
+	}
+}
+
+// noteDelays does what the simulator does with its note 2, which has no message on the sockets: once a second it
+// tells of each next hop whose messages take over a third of the shortest aim, and once more when they are back
+// under. The time is the median of those seen in that second, less what the way to the next hop's zone takes at
+// best; messages still without an answer count with their age.
+func (p *Proxy) noteDelays(now time.Duration) {
+	aim := p.shortestAim()
+	if aim == 0 {
+		return
+	}
+	some := map[*hop]*flow{}
+	for _, f := range p.open {
+		h := f.attempt.hop
+		some[h] = f
+		if f.asked != 0 && now-f.asked > aim/3+p.zones[h.zone] {
+			h.samples = append(h.samples, now-f.asked)
+		}
+	}
+	for _, h := range p.hopsInOrder() {
+		f := some[h]
+		if len(h.samples) == 0 || f == nil {
+			h.samples = h.samples[:0]
+			continue
+		}
+		slices.Sort(h.samples)
+		took := max(h.samples[len(h.samples)/2]-p.zones[h.zone], 0)
+		h.samples = h.samples[:0]
+		late := took > aim/3
+		if late || h.late {
+			p.count.DelayNotes++
+			p.tell(loompick.DelayNote{ID: f.id, Server: h.id, Attempt: f.attempts - 1, Delay: took})
+		}
+		h.late = late
+	}
+}
+
+func (p *Proxy) shortestAim() time.Duration {
+	var aim time.Duration
+	for _, c := range p.set.Classes {
+		if c.MessageAim > 0 && (aim == 0 || c.MessageAim < aim) {
+			aim = c.MessageAim
+		}
+	}
+	return aim
+}
+
+func (p *Proxy) hopsInOrder() []*hop {
+	out := make([]*hop, 0, len(p.hops))
+	for _, h := range p.hops {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(x, y *hop) int {
+		if x.id < y.id {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/internal/proxy/send.go
@@ -0,0 +1,228 @@
+package proxy
+
+import (
+	"time"
+
+	"example.org/loompick"
+	"example.org/loompick/internal/evloop"
+)
+
+// Send: one delivery attempt, from the dial to the next hop's first word. Each ends in exactly one outcome.
+
+type attempt struct {
+	f      *flow
+	no     int
+	hop    *hop
+	conn   *evloop.Conn
+	sentAt time.Duration
+	until  time.Duration // when the proxy stops waiting
+	up     bool          // dialled
+	wrote  bool          // the first message has gone in full
+	over   bool
+	last   Sign
+	tail   []byte // the start of a message whose end has not come
+	limit  *evloop.Timer
+}
+
+func (p *Proxy) send(f *flow, s loompick.Send) {
+	now := p.loop.Now()
+	a := &attempt{f: f, no: f.attempts, hop: p.hops[s.Server], sentAt: now, until: f.deadline}
+	f.attempts++
+	if a.hop == nil {
+		a.hop = &hop{id: s.Server}
+	}
+	if s.Timeout != 0 {
+		a.until = min(now+s.Timeout, f.deadline)
+	}
+	if f.answered || f.attempt != nil || a.no >= p.set.Limits.Attempts || a.until <= now {
+		// Never two at once, none past the end: what must not go out is reported as never sent.
+		a.over = true
+		p.book(a, loompick.Moot)
+		return
+	}
+	f.attempt = a
+	p.count.Attempts++
+	a.dial()
+}
+
+// dial begins the attempt. It must come up within the settings' time.
+func (a *attempt) dial() {
+	p := a.f.p
+	conn, err := p.loop.Dial(a.hop.addr, a)
+	if err != nil {
+		p.count.DialErrors++
+		status := loompick.Moot
+		if evloop.Refused(err) {
+			status = loompick.ConnectFailed
+		}
+		a.end(status)
+		return
+	}
+	a.conn = conn
+	wait := min(p.set.Limits.ConnectTimeout, a.until-p.loop.Now())
+	a.limit = p.loop.After(wait, func() { a.end(loompick.ConnectFailed) })
+}
+
+// Opened and the methods below are evloop's Handler.
+func (a *attempt) Opened() {
+	p := a.f.p
+	a.up = true
+	p.loop.Cancel(a.limit)
+	left := a.until - p.loop.Now()
+	a.limit = p.loop.After(left, a.expired)
+	b := a.f.opening.Forward(left)
+	p.count.BytesToNextHops += counter(len(b))
+	a.conn.Write(b)
+	a.wrote = a.conn.Pending() == 0
+}
+
+func (a *attempt) expired() {
+	if !a.wrote {
+		a.end(loompick.ConnectFailed)
+		return
+	}
+	a.end(loompick.Timeout)
+}
+
+func (a *attempt) Drained() {
+	a.wrote = true
+	if a.f.place >= 0 && a.f.client != nil {
+		a.f.client.Resume()
+	}
+}
+
+func (a *attempt) Data(b []byte) {
+	if a.f.place >= 0 {
+		a.fromNextHop(b)
+		return
+	}
+	a.tail = append(a.tail, b...)
+	b = a.tail
+	p := a.f.p
+	whole := p.protocol.Whole(b)
+	for len(b) > 0 && whole > 0 && !a.over {
+		m, rest := p.protocol.Cut(b)
+		whole -= len(m)
+		sign, _ := p.protocol.Read(m)
+		a.last = sign
+		switch sign {
+		case SignUp:
+			a.tail = nil
+			a.f.stand(a)
+			a.fromNextHop(b) // the message itself and what follows
+			return
+		case SignBye:
+			a.f.answered = true
+			p.count.Served++
+			a.f.endClient(m)
+			a.end(loompick.OK)
+		case SignMove:
+			a.end(loompick.Cancelled)
+		case SignFull:
+			a.end(loompick.Full)
+		case SignError:
+			a.end(loompick.AppError)
+		case SignOther:
+			p.count.BadLines++
+			a.end(loompick.AppError)
+		}
+		b = rest
+	}
+	if a.over {
+		return
+	}
+	if len(b) > p.protocol.MaxMessage() {
+		p.count.Overlong++
+		a.end(loompick.AppError)
+		return
+	}
+	a.tail = append(a.tail[:0], b...)
+}
+
+func (a *attempt) Ended() {
+	if a.f.place >= 0 {
+		a.f.hopEnded()
+		return
+	}
+	a.broke()
+}
+
+func (a *attempt) Closed(error) {
+	if a.f.place >= 0 {
+		a.f.hopBroke()
+		return
+	}
+	a.broke()
+}
+
+func (a *attempt) broke() {
+	if !a.wrote {
+		a.end(loompick.ConnectFailed)
+		return
+	}
+	a.end(loompick.Reset)
+}
+
+// callOff ends the attempt that is out, if one is. One that still dials never writes its line.
+func (f *flow) callOff() {
+	if f.attempt != nil {
+		f.attempt.end(loompick.Cancelled)
+	}
+}
+
+// end closes the attempt's connection before its outcome is told: the module may send the next one at once.
+func (a *attempt) end(s loompick.Status) {
+	if a.over {
+		return
+	}
+	a.over = true
+	p, f := a.f.p, a.f
+	p.loop.Cancel(a.limit)
+	if a.conn != nil {
+		a.conn.Close()
+	}
+	f.attempt = nil
+	if f.opening != nil && f.opening.Standing != "" {
+		p.resumeAgain(f, a)
+		return
+	}
+	p.book(a, s)
+}
+
+// Connections that stood before the proxy started come back to the next hop that they name. They are tried
+// again for a while: the world they come from counts them as lost only after 40 s.
+const (
+	resumeFor   = 35 * time.Second
+	resumeEvery = 250 * time.Millisecond
+	resumeTry   = 5 * time.Second
+)
+
+func (p *Proxy) resume(f *flow) {
+	now := p.loop.Now()
+	a := &attempt{f: f, hop: p.hops[f.opening.Standing], sentAt: now, until: now + resumeTry}
+	if a.hop == nil {
+		p.fail(f)
+		return
+	}
+	f.attempt, f.attempts = a, 1
+	a.dial()
+}
+
+func (p *Proxy) resumeAgain(f *flow, a *attempt) {
+	if f.answered {
+		p.forget(f)
+		return
+	}
+	if f.stuck == 0 {
+		f.stuck = a.sentAt
+	}
+	if p.loop.Now()-f.stuck > resumeFor {
+		p.fail(f)
+		return
+	}
+	p.loop.After(resumeEvery, func() {
+		if !f.answered {
+			p.resume(f)
+		}
+	})
+}
--- /dev/null
+++ b/internal/registry/client.go
@@ -0,0 +1,174 @@
+package registry
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"example.org/loompick"
+	"example.org/loompick/internal/evloop"
+)
+
+// An empty line comes every 2 s on a quiet watch, and what discovery has to tell counts as told after 6 s
+// whether it came or not: two missed lines mean that the watch is lost.
+const (
+	callTime    = 2500 * time.Millisecond // until the first object
+	silenceTime = 4500 * time.Millisecond // between lines of a watch
+)
+
+// Client asks discovery. Each call that the module makes ends in exactly one report, a list or a failure; a
+// watch then goes on to report changes until it is lost.
+type Client struct {
+	Loop       *evloop.Loop
+	Addr       string
+	Generation int64 // of the latest list
+	Heard      func(List, loompick.ListKind)
+	Failed     func(error)
+
+	watch *call
+}
+
+// Watch asks for changes from now on, or cancels that. A watch that is up already is begun anew.
+func (c *Client) Watch(on bool) {
+	if c.watch != nil {
+		c.watch.stop()
+		c.watch = nil
+	}
+	if on {
+		c.watch = c.call("/registry/instances?watch=1&from="+strconv.FormatInt(c.Generation, 10), true)
+	}
+}
+
+// Fetch asks for the whole list once.
+func (c *Client) Fetch() { c.call("/registry/instances", false) }
+
+type call struct {
+	c      *Client
+	conn   *evloop.Conn
+	parser *parser
+	line   []byte
+	watch  bool
+	over   bool
+	limit  *evloop.Timer
+	path   string
+}
+
+func (c *Client) call(path string, watch bool) *call {
+	k := &call{c: c, watch: watch, path: path}
+	k.parser = newParser(k.body)
+	k.limit = c.Loop.After(callTime, func() { k.fail(errors.New("no answer in time")) })
+	conn, err := c.Loop.Dial(c.Addr, k)
+	if err != nil {
+		// Told in a turn of its own: the module's call has not returned yet.
+		c.Loop.After(0, func() { k.fail(err) })
+		return k
+	}
+	k.conn = conn
+	return k
+}
+
+func (k *call) stop() {
+	k.over = true
+	k.c.Loop.Cancel(k.limit)
+	if k.conn != nil {
+		k.conn.Close()
+	}
+}
+
+func (k *call) fail(err error) {
+	if k.over {
+		return
+	}
+	k.stop()
+	if k.c.watch == k {
+		k.c.watch = nil
+	}
+	k.c.Failed(fmt.Errorf("discovery: %w", err))
+}
+
+// Opened and the methods below are evloop's Handler.
+func (k *call) Opened() {
+	k.conn.Write([]byte("GET " + k.path + " HTTP/1.1\r\nHost: " + k.c.Addr +
+		"\r\nAccept: application/json\r\n\r\n"))
+}
+
+func (k *call) Data(b []byte) {
+	if err := k.parser.feed(b); err != nil {
+		k.fail(err)
+		return
+	}
+	if k.parser.status != 0 && k.parser.status != 200 {
+		k.fail(fmt.Errorf("status %d", k.parser.status))
+	} else if k.parser.done {
+		k.Ended()
+	}
+}
+
+func (k *call) Ended() {
+	if k.over {
+		return
+	}
+	if !k.watch && k.parser.status == 200 && (k.parser.done || k.parser.left < 0 && !k.parser.chunked) {
+		if l, err := ParseList(k.line); err != nil {
+			k.fail(err)
+		} else if k.c.watch != nil && l.Generation < k.c.Generation {
+			k.fail(errors.New("the list was overtaken by the watch")) // it must not go back in time
+		} else {
+			k.stop()
+			k.c.heard(l, loompick.FullList)
+		}
+		return
+	}
+	k.fail(errors.New("the answer ended"))
+}
+
+func (k *call) Drained() {}
+
+func (k *call) Closed(err error) { k.fail(err) }
+
+// body takes the answer's bytes. A watch brings an object a line, a fetch one object in all.
+func (k *call) body(b []byte) error {
+	if k.over || k.parser.status != 200 {
+		return nil
+	}
+	k.line = append(k.line, b...)
+	if len(k.line) > maxBody {
+		return errTooLong
+	}
+	if !k.watch {
+		return nil
+	}
+	for !k.over {
+		i := bytes.IndexByte(k.line, '\n')
+		if i < 0 {
+			break
+		}
+		text := bytes.TrimSpace(k.line[:i])
+		k.line = k.line[i+1:]
+		k.c.Loop.Cancel(k.limit)
+		k.limit = k.c.Loop.After(silenceTime, func() { k.fail(errors.New("the watch fell silent")) })
+		if len(text) == 0 {
+			continue
+		}
+		l, err := ParseList(text)
+		if err != nil {
+			return err
+		}
+		kind := loompick.Changes
+		if l.Reset {
+			kind = loompick.FullList
+		}
+		k.c.heard(l, kind)
+	}
+	if len(k.line) == 0 {
+		k.line = nil
+	}
+	return nil
+}
+
+func (c *Client) heard(l List, kind loompick.ListKind) {
+	c.Generation = l.Generation
+	c.Heard(l, kind)
+}
--- /dev/null
+++ b/internal/registry/http.go
@@ -0,0 +1,161 @@
+package registry
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// maxHead and maxBody bound what discovery may make us hold.
+const (
+	maxHead = 16 << 10
+	maxBody = 8 << 20
+)
+
+var errTooLong = errors.New("discovery's answer is too long")
+
+// parser reads one HTTP/1.1 response as it comes, in any pieces, and hands on the body's bytes.
+type parser struct {
+	buf     []byte
+	state   func(*parser) (more bool, err error)
+	status  int
+	left    int64 // of the body or chunk; -1: until the connection ends
+	chunked bool
+	done    bool
+	body    func([]byte) error
+}
+
+func newParser(body func([]byte) error) *parser { return &parser{state: (*parser).head, body: body} }
+
+func (p *parser) feed(b []byte) error {
+	p.buf = append(p.buf, b...)
+	for !p.done {
+		more, err := p.state(p)
+		if err != nil {
+			return err
+		}
+		if !more {
+			break
+		}
+	}
+	if len(p.buf) == 0 {
+		p.buf = nil
+	}
+	return nil
+}
+
+func (p *parser) cutLine() (string, bool, error) {
+	i := bytes.IndexByte(p.buf, '\n')
+	if i < 0 {
+		if len(p.buf) > maxHead {
+			return "", false, errTooLong
+		}
+		return "", false, nil
+	}
+	line := string(bytes.TrimSuffix(p.buf[:i], []byte("\r")))
+	p.buf = p.buf[i+1:]
+	return line, true, nil
+}
+
+func (p *parser) head() (bool, error) {
+	end := bytes.Index(p.buf, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(p.buf) > maxHead {
+			return false, errTooLong
+		}
+		return false, nil
+	}
+	lines := strings.Split(string(p.buf[:end]), "\r\n")
+	p.buf = p.buf[end+4:]
+	f := strings.SplitN(lines[0], " ", 3)
+	status, err := 0, error(nil)
+	if len(f) >= 2 && strings.HasPrefix(f[0], "HTTP/1.") {
+		status, err = strconv.Atoi(f[1])
+	}
+	if err != nil || status < 100 || status > 999 {
+		return false, fmt.Errorf("discovery's status line %q", lines[0])
+	}
+	if status < 200 {
+		return true, nil // an interim answer; the real one follows
+	}
+	p.status, p.left = status, -1
+	for _, h := range lines[1:] {
+		name, value, ok := strings.Cut(h, ":")
+		if !ok {
+			return false, fmt.Errorf("discovery's header %q", h)
+		}
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "transfer-encoding":
+			p.chunked = strings.EqualFold(value, "chunked")
+		case "content-length":
+			if p.left, err = strconv.ParseInt(value, 10, 64); err != nil || p.left < 0 || p.left > maxBody {
+				return false, fmt.Errorf("discovery's content-length %q", value)
+			}
+		}
+	}
+	p.state = (*parser).plain
+	if p.chunked {
+		p.state = (*parser).chunkSize
+	}
+	return true, nil
+}
+
+func (p *parser) plain() (bool, error) {
+	b := p.buf
+	if p.left >= 0 && int64(len(b)) >= p.left {
+		b, p.done = b[:p.left], true
+	}
+	p.buf = p.buf[len(b):]
+	if p.left >= 0 {
+		p.left -= int64(len(b))
+	}
+	if len(b) == 0 {
+		return false, nil
+	}
+	return false, p.body(b)
+}
+
+func (p *parser) chunkSize() (bool, error) {
+	line, ok, err := p.cutLine()
+	if !ok {
+		return false, err
+	}
+	size, _, _ := strings.Cut(line, ";")
+	if p.left, err = strconv.ParseInt(strings.TrimSpace(size), 16, 64); err != nil || p.left < 0 ||
+		p.left > maxBody {
+		return false, fmt.Errorf("discovery's chunk size %q", line)
+	}
+	p.state = (*parser).chunk
+	if p.left == 0 {
+		p.state = (*parser).trailer
+	}
+	return true, nil
+}
+
+func (p *parser) chunk() (bool, error) {
+	if n := min(int64(len(p.buf)), p.left); n > 0 {
+		b := p.buf[:n]
+		p.buf, p.left = p.buf[n:], p.left-n
+		if err := p.body(b); err != nil {
+			return false, err
+		}
+	}
+	if p.left > 0 || len(p.buf) < 2 {
+		return false, nil
+	}
+	if p.buf[0] != '\r' || p.buf[1] != '\n' {
+		return false, errors.New("discovery's chunk does not end where it should")
+	}
+	p.buf = p.buf[2:]
+	p.state = (*parser).chunkSize
+	return true, nil
+}
+
+func (p *parser) trailer() (bool, error) {
+	line, ok, err := p.cutLine()
+	p.done = ok && line == ""
+	return ok && !p.done, err
+}
--- /dev/null
+++ b/internal/registry/list.go
@@ -0,0 +1,66 @@
+// Package registry follows the transport map: discovery's list of next hops, over HTTP/1.1.
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"example.org/loompick"
+	jsoniter "github.com/json-iterator/go"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// List is one object of discovery's: the whole transport map, or what changed in it.
+type List struct {
+	Generation int64   `json:"generation"`
+	Reset      bool    `json:"reset"`
+	Instances  []Entry `json:"instances"`
+}
+
+// Entry is one next hop.
+type Entry struct {
+	ID          string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+var phases = map[string]loompick.Phase{
+	"in_service": loompick.Ready, "terminating": loompick.Draining, "terminated": loompick.Gone}
+
+// ParseList reads one object and refuses one that makes no sense.
+func ParseList(text []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(text, &l); err != nil {
+		return l, fmt.Errorf("transport map: %w", err)
+	}
+	if l.Instances == nil && l.Reset { // a whole list of nothing would send everybody away
+		return l, errors.New("transport map: no instances")
+	}
+	for _, e := range l.Instances {
+		if _, ok := phases[e.Lifecycle]; !ok || e.ID == "" {
+			return l, fmt.Errorf("transport map: entry %q has lifecycle %q", e.ID, e.Lifecycle)
+		}
+		if e.StartedAtMs < 0 || e.StartedAtMs > math.MaxInt64/int64(time.Millisecond) {
+			return l, fmt.Errorf("transport map: entry %q started at %d", e.ID, e.StartedAtMs)
+		}
+	}
+	return l, nil
+}
+
+// Members is the list as the module's event. Its times are on the loop's scale, which is Unix time.
+func (l *List) Members(kind loompick.ListKind) loompick.Members {
+	m := loompick.Members{Kind: kind, Version: l.Generation}
+	for _, e := range l.Instances {
+		m.Entries = append(m.Entries, loompick.Member{Server: e.ID, Phase: phases[e.Lifecycle],
+			StartedAt: time.Duration(e.StartedAtMs) * time.Millisecond, Size: e.Weight, Zone: e.Zone,
+			Cell: e.Cell})
+	}
+	return m
+}
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -1,6 +1,10 @@
 package wire
 
-import "example.org/loompick"
+import (
+	"encoding/json"
+
+	"example.org/loompick"
+)
 
 type envJSON struct {
 	Balancers  int
@@ -68,3 +72,12 @@
 		OverloadFactor: r.OverloadFactor}
 	return s
 }
+
+// DecodeSettings reads the settings object, as an instance gets it in its first message.
+func DecodeSettings(text []byte) (loompick.Settings, error) {
+	var e envJSON
+	if err := json.Unmarshal(text, &e); err != nil {
+		return loompick.Settings{}, err
+	}
+	return e.settings(), nil
+}
