Read LOAD as a delay where the site tells delays; test the real program as a process

No DelayNote was ever sent. Checked, with a trace of all relayed lines: echoes of 'M n' lines come back in 20 to 100 us also from the slow server, so message times tell nothing of it (ruled out as the sign there). But LOAD lines came from that server alone, once a second on one connection of each proxy, 1595, 2948, 2472 ... 812, then 3.8 once: note 2 of WIRE, in milliseconds. The settings say TellsDelay true and TellsLoad false, so no line of this kind can be a load. At fault: relay.go fed every LOAD line to LoadNote, which also spoilt the module's usual loads by figures of a thousand times the size. Now: where delays are told and loads are not, LOAD is a DelayNote in milliseconds; elsewhere a LoadNote as before. Message times stay as a second source, for feed servers that tell nothing. Found by the new test: lines read in one piece with a report that causes a move were lost; they are passed on first now.

Tests start the real program as a process and play client, feed servers and discovery.

--- /dev/null
+++ b/cmd/micafront/main_test.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func equal(t *testing.T, what string, want, got any) {
+	t.Helper()
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("%s (-want +got):\n%s", what, d)
+	}
+}
+
+// one starts the program with a single next hop.
+func one(t *testing.T, change ...func(*world)) (*world, chan *peer) {
+	t.Helper()
+	conns := make(chan *peer, 64)
+	h := newHop(t, "s-1", conns)
+	return start(t, list(1, true, entry(h.id, h.addr, "in_service")), change...), conns
+}
+
+func TestFirstLineAndRelay(t *testing.T) {
+	w, conns := one(t)
+	c := w.dial()
+	c.say("PING\r\n")
+	equal(t, "readiness", "PONG", c.line())
+	for _, part := range []string{"OPEN 9b1f 7f", "3a c=feed,x=1,d=600", "00,g=5c\r", "\n"} {
+		c.say(part)
+	}
+	s := await(t, conns)
+	first := s.line()
+	// d states how long the proxy waits, all else is as it came.
+	if !regexp.MustCompile(`^OPEN 9b1f 7f3a c=feed,x=1,d=[1-5]\d{4},g=5c$`).MatchString(first) {
+		t.Errorf("first line %q", first)
+	}
+	s.say("UP r1\r\nnews 1\r\nhalf")
+	equal(t, "answer", []string{"UP r1", "news 1"}, []string{c.line(), c.line()})
+	c.say("M 1\r\nM 2\r\nM")
+	c.say(" 3\r\n")
+	equal(t, "to next hop", []string{"M 1", "M 2", "M 3"}, []string{s.line(), s.line(), s.line()})
+	// The client ends its sending: what it sent and what the next hop still says both arrive.
+	c.say("last")
+	c.CloseWrite()
+	equal(t, "to next hop at the end", "last|EOF", s.line())
+	s.say(" done\r\nBYE\r\n")
+	s.Close()
+	equal(t, "after half-close", []string{"half done", "BYE", "EOF"}, []string{c.line(), c.line(), c.line()})
+	w.counts("open=0")
+}
+
+// A next hop's answers each end the attempt by PROTOCOL's table, and another next hop gets the next one, after
+// the first connection has been closed.
+func TestOutcomes(t *testing.T) {
+	for name, act := range map[string]func(*peer){
+		"outcome_full":      func(s *peer) { s.say("BUSY\r\n") },
+		"outcome_error":     func(s *peer) { s.say("ERR\r\n") },
+		"bad_lines":         func(s *peer) { s.say("NO\r\n") },
+		"overlong":          func(s *peer) { s.say(strings.Repeat("x", 5000)) },
+		"outcome_cancelled": func(s *peer) { s.say("MO"); s.say("VE\r\n") },
+		"outcome_reset":     func(s *peer) { s.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conns := make(chan *peer, 64)
+			a, b := newHop(t, "s-1", conns), newHop(t, "s-2", conns)
+			w := start(t, list(1, true, entry(a.id, a.addr, "in_service"), entry(b.id, b.addr, "in_service")))
+			c := w.dial()
+			c.say("OPEN id key c=feed,d=60000\r\n")
+			s := await(t, conns)
+			s.line()
+			act(s)
+			next := await(t, conns)
+			next.line()
+			if s.LocalAddr().String() == next.LocalAddr().String() {
+				t.Error("both attempts at one next hop")
+			}
+			next.say("UP r\r\n")
+			equal(t, "answer", "UP r", c.line())
+			w.counts(name + "=1")
+			w.counts("attempts=2")
+		})
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	w, _ := one(t)
+	for _, in := range []string{
+		"HELLO\r\n", "\r\n", "OPEN\r\n", "OPEN id key\r\n", "OPEN id key c=feed,d=-1\r\n",
+		"OPEN id key c=feed,d=1,d=2\r\n", "OPEN id key c=feed,d=9999999999999999999999\r\n",
+		"OPEN id key c=feed,h=NaN,d=5\r\n", "OPEN id key c=feed,d\r\n", "OPEN id key c=feed,d=5\n",
+		"OPEN i\x00d key c=feed,d=5\r\n", strings.Repeat("x", 4097),
+	} {
+		c := w.dial()
+		c.say(in)
+		equal(t, fmt.Sprintf("answer to %.40q", in), []string{"ERR SYNTAX", "EOF"},
+			[]string{c.line(), c.line()})
+	}
+	w.counts("bad_lines=11")
+	w.counts("overlong=1")
+	// A next hop that is not in the transport map cannot hold a connection from before.
+	c := w.dial()
+	c.say("OPEN id key c=feed,d=60000,at=s-9\r\n")
+	equal(t, "unknown holder", "ERR", c.line())
+}
+
+// A request that the module has given up on is answered at once, not when its time is nearly up, and told when
+// to come again.
+func TestRefusedAtOnce(t *testing.T) {
+	w := start(t, list(1, true))
+	c := w.dial()
+	c.say("OPEN id key c=feed,d=3600000\r\n")
+	if got := c.line(); !regexp.MustCompile(`^BUSY [1-9]\d*$`).MatchString(got) {
+		t.Errorf("answer %q", got)
+	}
+	equal(t, "end", "EOF", c.line())
+}
+
+// A client that leaves before its answer takes its attempt along.
+func TestClientGone(t *testing.T) {
+	w, conns := one(t)
+	c := w.dial()
+	c.say("OPEN id key c=feed,d=60000\r\n")
+	s := await(t, conns)
+	s.line()
+	c.Close()
+	equal(t, "attempt", "EOF", s.line())
+	w.counts("client_gone=1")
+	w.counts("outcome_cancelled=1")
+}
+
+func TestStandingConnection(t *testing.T) {
+	w, conns := one(t)
+	c := w.dial()
+	c.say("OPEN id key c=feed,d=60000,at=s-1\r\n")
+	s := await(t, conns)
+	s.line()
+	s.Close() // tried again
+	s = await(t, conns)
+	s.line()
+	s.say("UP r\r\n")
+	equal(t, "answer", "UP r", c.line())
+	s.SetLinger(0)
+	s.Close()
+	equal(t, "ended in the same manner", "RST", c.line())
+}
+
+// Where delays are told and loads are not, LOAD carries a message's milliseconds: a next hop far over the aim
+// loses clients, between two lines. A real load moves nobody.
+func TestLoadLineIsDelay(t *testing.T) {
+	w, conns := one(t, func(w *world) {
+		w.extra = `"FamilyInfo":{"MessageAim":[0.05],"TellsDelay":true,"TellsLoad":false},`
+	})
+	c, s := w.connect(conns, "key")
+	s.say("a\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\n" +
+		"LOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nb")
+	equal(t, "first", "a", c.line())
+	for got := c.line(); got != "MOVE"; got = c.line() {
+		if got != "LOAD 3000" {
+			t.Fatalf("client got %q", got)
+		}
+	}
+	equal(t, "end", "EOF", c.line())
+	w.counts("moves=1")
+}
+
+// A next hop on which nothing comes back is left within 7 s, with a polite move.
+func TestSilentNextHop(t *testing.T) {
+	w, conns := one(t)
+	c, s := w.connect(conns, "key")
+	c.say("M 1\r\n")
+	equal(t, "to next hop", "M 1", s.line())
+	equal(t, "moved", []string{"MOVE", "EOF"}, []string{c.line(), c.line()})
+	w.counts("moves_silent=1")
+}
+
+// Discovery's watch may end, answer nonsense, or come in pieces: the proxy asks again and follows.
+func TestTransportMap(t *testing.T) {
+	conns := make(chan *peer, 64)
+	h := newHop(t, "s-7", conns)
+	w := start(t, list(41, true))
+	equal(t, "watch", "watch=1&from=41", await(t, w.watches))
+	w.lists <- ""
+	equal(t, "after its end", "watch=1&from=41", await(t, w.watches))
+	w.lists <- `{"generation":42,"reset":false,"instances":[{"instanceId":"s-7","lifecycle":"odd"}]}`
+	equal(t, "after nonsense", "watch=1&from=41", await(t, w.watches))
+	w.lists <- list(43, false, entry(h.id, h.addr, "in_service"))
+	w.counts("lists=2")
+	w.lists <- ""
+	equal(t, "after a change", "watch=1&from=43", await(t, w.watches))
+	// The table follows at the next epoch; until then requests are refused.
+	for {
+		c := w.dial()
+		c.say("OPEN id key c=feed,d=60000\r\n")
+		if strings.HasPrefix(c.line2(conns), "BUSY") {
+			continue
+		}
+		break
+	}
+}
+
+// line2 reads an answer while a next hop may have to give it first.
+func (p *peer) line2(conns chan *peer) string {
+	got := make(chan string, 1)
+	go func() { got <- p.line() }()
+	select {
+	case s := <-conns:
+		s.line()
+		s.say("UP r\r\n")
+		return <-got
+	case l := <-got:
+		return l
+	}
+}
+
+func TestStop(t *testing.T) {
+	w, conns := one(t)
+	c, _ := w.connect(conns, "a")
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	late, _ := w.connect(conns, "b") // arrivals go on for a while
+	for _, p := range []*peer{c, late} {
+		equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.line(), p.line()})
+		p.Close()
+	}
+	if err := await(t, w.exited); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	w.until("moves_stop=2")
+}
+
+// Running out of descriptors must not end the proxy: gnet's own acceptor would.
+func TestOutOfDescriptors(t *testing.T) {
+	w, conns := one(t, func(w *world) { w.sockets = 48 })
+	var idle []*peer
+	for range 100 {
+		idle = append(idle, w.dial())
+	}
+	for _, p := range idle {
+		p.Close()
+	}
+	w.connect(conns, "key")
+	w.counts("up=1")
+}
+
+func TestConfigErrors(t *testing.T) {
+	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",` +
+		`"known":{"generation":0,"reset":true,"instances":[]},"settings":{}}`
+	for _, c := range []struct{ name, from, to, want string }{
+		{"not JSON", good, "{", "not valid"},
+		{"no listen", `"listen":"127.0.0.1:0",`, "", "EDGE_LISTEN is not set"},
+		{"listen by name", "127.0.0.1:0", "localhost:0", "not a numeric address"},
+		{"seed", `"seed":"1"`, `"seed":"x"`, "seed"},
+		{"known", `"generation":0`, `"generation":"x"`, "known"},
+		{"settings", `"settings":{}`, `"settings":[]`, "settings"},
+		{"no classes", "", "", "no classes"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var errs bytes.Buffer
+			cmd := program(t, strings.Replace(good, c.from, c.to, 1))
+			cmd.Stderr = &errs
+			if cmd.Run() == nil {
+				t.Error("exit code 0")
+			}
+			if got := errs.String(); !strings.Contains(got, c.want) || strings.Count(got, "\n") != 1 {
+				t.Errorf("standard error %q, want one line with %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,9 @@
 	MemoryMB, Sockets       int
 	Known                   registry.List
 	Settings                loompick.Settings
+	// LoadIsDelay tells what a next hop's load line means: at sites that tell of delays but not of loads
+	// its figure is the milliseconds that a message takes there now.
+	LoadIsDelay bool
 }
 
 type file struct {
@@ -82,5 +85,12 @@
 	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("%s: settings: %w", path, err)
 	}
+	var told struct {
+		FamilyInfo struct{ TellsLoad, TellsDelay bool }
+	}
+	if err := jsoniter.Unmarshal(f.Settings, &told); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	c.LoadIsDelay = told.FamilyInfo.TellsDelay && !told.FamilyInfo.TellsLoad
 	return c, nil
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,7 +25,8 @@
 	module   *loompick.Balancer
 	set      loompick.Settings
 	registry *registry.Client
-	sockets  int // descriptors that may be open; 0: as many as the system gives
+	delays   bool // a next hop's load line tells milliseconds a message, not load
+	sockets  int  // descriptors that may be open; 0: as many as the system gives
 	log      io.Writer
 	count    counters.Counters
 
@@ -47,7 +48,8 @@
 type hop struct {
 	id, addr, zone string
 	samples        []time.Duration
-	late           bool // told to the module as slow
+	late           bool          // told to the module as slow
+	told           time.Duration // when it last told by itself how long its messages take
 }
 
 // flow is one client's request and, once it is up, its connection.
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("event loop: %w", err)
 	}
-	p := &Proxy{loop: loop, protocol: Text{}, module: module, set: c.Settings, sockets: c.Sockets, log: log,
+	p := &Proxy{loop: loop, protocol: Text{}, module: module, set: c.Settings, sockets: c.Sockets, log: log, delays: c.LoadIsDelay,
 		flows: map[string]*flow{}, hops: map[string]*hop{}, zones: map[string]time.Duration{}}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation,
 		Heard: p.hearList, Failed: p.listFailed}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -59,33 +59,46 @@
 		b, a.tail = a.tail, nil
 	}
 	n := p.protocol.Whole(b)
-	for rest := b[:n]; len(rest) > 0; {
+	a.tail = append(a.tail[:0:0], b[n:]...)
+	// Passed on before they are read: what came ahead of a report must not be lost to the move that it causes.
+	if f.client != nil && n > 0 {
+		p.count.BytesToClients += counter(n)
+		if f.client.Write(b[:n]); f.client.Pending() > maxHeld {
+			a.conn.Pause()
+		}
+	}
+	for rest := b[:n]; len(rest) > 0 && !a.over; {
 		var m []byte
 		m, rest = p.protocol.Cut(rest)
 		sign, x := p.protocol.Read(m)
 		switch a.last = sign; sign {
 		case SignLoad:
-			p.count.LoadNotes++
-			p.tell(loompick.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
+			a.noteLoad(x)
 		case SignOther:
 			f.answeredMessage()
 		}
 	}
-	if f.attempt != a { // the module moved the client meanwhile
-		return
-	}
-	if f.client != nil && n > 0 {
-		p.count.BytesToClients += counter(n)
-		if f.client.Write(b[:n]); f.client.Pending() > maxHeld {
-			a.conn.Pause()
-		}
-	}
-	if len(b)-n > p.protocol.MaxMessage() {
+	if len(a.tail) > p.protocol.MaxMessage() && !a.over {
 		p.count.Overlong++
 		p.move(f, loompick.Reset)
+	}
+}
+
+// noteLoad takes a next hop's report. Where the settings say that delays are told and loads are not, the line
+// carries WIRE's note 2: it was seen to come once a second on one connection of each proxy from a slow next hop
+// alone, in milliseconds, and once more when that was over. Read as a load it would leave the module without the
+// only sign of a slow next hop, and would spoil its figures of what a connection asks.
+func (a *attempt) noteLoad(x float64) {
+	p, f := a.f.p, a.f
+	if p.delays {
+		p.count.DelayNotes++
+		a.hop.told = p.loop.Now()
+		delay := time.Duration(min(x, 1e9) * float64(time.Millisecond))
+		p.tell(loompick.DelayNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Delay: delay})
 		return
 	}
-	a.tail = append(a.tail[:0:0], b[n:]...)
+	p.count.LoadNotes++
+	p.tell(loompick.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
 }
 
 // clientEnded passes on that the client ended its sending; what the next hop still says is relayed.
@@ -197,8 +210,8 @@
 	}
 }
 
-// noteDelays does what the simulator does with its note 2, which has no message on the sockets: once a second it
-// tells of each next hop whose messages take over a third of the shortest aim, and once more when they are back
+// noteDelays makes WIRE's note 2 from what the relayed messages show, for next hops that tell nothing by
+// themselves, silent ones above all: once a second it tells of each next hop whose messages take over a third of the shortest aim, and once more when they are back
 // under. The time is the median of those seen in that second, less what the way to the next hop's zone takes at
 // best; messages still without an answer count with their age.
 func (p *Proxy) noteDelays(now time.Duration) {
@@ -224,7 +237,7 @@
 		took := max(h.samples[len(h.samples)/2]-p.zones[h.zone], 0)
 		h.samples = h.samples[:0]
 		late := took > aim/3
-		if late || h.late {
+		if (late || h.late) && now-h.told > noteEvery*3/2 {
 			p.count.DelayNotes++
 			p.tell(loompick.DelayNote{ID: f.id, Server: h.id, Attempt: f.attempts - 1, Delay: took})
 		}
