Leave draining servers in time, paced, and relieve gently where the fleet is short

Seen: the inherited module moves clients only off slow servers; whoever stands at a draining one is cut off when it stops. The users ask that clients are told before that. So: a tenth only while over a quarter of the fleet is jammed. Now: leaving begins with the next epoch and goes over DrainGrace in ten parts; while the gate is closed it waits for up to DrainGrace.

--- a/balancer.go
+++ b/balancer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -66,6 +67,7 @@
 	place    int     // index among those held at its server
 	at       *server // where an attempt is out, or the connection stands
 	open     bool
+	moved    bool // its client has been told to move
 	answered bool
 	tried    []*server
 	ranAt    Instant // send time of the first attempt that may have run
@@ -116,6 +118,7 @@
 			r.open = true
 			b.settle(r)
 			b.succeeded(r.at)
+			b.leave(r.at) // it may drain since the attempt went out
 		}
 	case Outcome:
 		b.outcome(e)
@@ -150,6 +153,12 @@
 		b.do(Watch{On: true})
 		return
 	}
+	if id, ok := strings.CutPrefix(token, leaveToken); ok {
+		if s := b.servers[id]; s != nil {
+			b.leaveTurn(s)
+		}
+		return
+	}
 	if r := b.timers[token]; r != nil {
 		b.conclude(r)
 	}
@@ -209,6 +218,7 @@
 	r := b.newRequest(e.Request)
 	r.attempts, r.open, r.answered = 1, true, true
 	b.hold(r, s)
+	b.leave(s)
 }
 
 // settle notes that nothing is owed to the client any more.
--- a/fleet.go
+++ b/fleet.go
@@ -28,6 +28,9 @@
 	held    []*request // attempts and connections of this node at it
 	weight  float64    // and their load
 
+	leaving int     // turns left in which its connections are sent away
+	leaveBy Instant // when that begins even if the gate is not open
+
 	crashed bool    // its connections broke and it then refused new ones
 	brokeAt Instant // when a connection that stood last broke
 
@@ -58,6 +61,7 @@
 		if s.phase != e.Phase {
 			s.phase = e.Phase
 			b.listDirty = true
+			b.leave(s)
 		}
 		// The Size of a listed server is kept while it owns slots: a figure that moves from list to list
 		// must not move keys.
@@ -97,6 +101,50 @@
 	}
 }
 
+// leaveTurns is in how many parts a draining server's connections are sent away, over DrainGrace: a crowd that
+// left all at once would come back as one, to servers that have yet to take over the leaver's share.
+const leaveTurns = 10
+
+const leaveToken = "leave:"
+
+// leave begins to send away what stands at a draining server: what is still there when it stops is cut off. It
+// begins with the next epoch, from which on the table has other places for its keys; sent away earlier, a group
+// would be strewn over stand-ins.
+func (b *Balancer) leave(s *server) {
+	if s.phase != Draining || s.leaving > 0 || len(s.held) == 0 {
+		return
+	}
+	s.leaving, s.leaveBy = leaveTurns, b.now+b.set.Rules.DrainGrace
+	b.timer(leaveToken+s.id, Instant(b.epoch()+1)*b.epochLength()-b.now)
+}
+
+// leaveTurn sends away this turn's part of those that stand. While the gate turns new clients away it waits for
+// a time: those sent away would be refused elsewhere, and the leaver still serves them.
+func (b *Balancer) leaveTurn(s *server) {
+	if s.phase != Draining {
+		s.leaving = 0 // back in service, or gone with all that it held
+		return
+	}
+	var open []*request
+	for _, r := range s.held {
+		if r.open && !r.moved {
+			open = append(open, r)
+		}
+	}
+	part := (len(open) + s.leaving - 1) / s.leaving
+	if b.gate < 1 && b.now < s.leaveBy {
+		part = 0
+		s.leaving++
+	}
+	for _, r := range open[:part] {
+		r.moved = true
+		b.do(Move{ID: r.ID})
+	}
+	if s.leaving--; s.leaving > 0 {
+		b.timer(leaveToken+s.id, b.set.Rules.DrainGrace/leaveTurns)
+	}
+}
+
 // watchFailed asks again, later each time and at a moment of this node's own, always within AskEvery.
 func (b *Balancer) watchFailed() {
 	if !b.set.Subscribe || b.watchPending {
@@ -406,17 +454,35 @@
 	b.relieve(s, float64(delay)/aim)
 }
 
+// jammed is the part of the fleet, by Size, that admits less than half of its keys for overload. Past a quarter
+// the fleet as a whole is short, and what one server sheds jams the next.
+func (b *Balancer) jammed() float64 {
+	all, jammed := 0.0, 0.0
+	for _, s := range b.ready() {
+		all += s.size
+		if b.loadFraction(s) < 0.5 {
+			jammed += s.size
+		}
+	}
+	return jammed / max(all, 1e-9)
+}
+
+const shortFleet = 0.25
+
 // relieve moves connections off a server whose messages come too late: all of its connections earn next to
 // nothing until its load falls, and left alone that takes as long as connections live. slowness is the delay
 // over the aim. Every node that holds some is told once a second, so each moves three tenths of its own at
-// most, by chance where it holds few; those that bring least for their load go first, and the gate may then
+// most, a tenth where the fleet is short, by chance where it holds few; those that bring least for their load go first, and the gate may then
 // keep them out.
 func (b *Balancer) relieve(s *server, slowness float64) {
-	const share = 0.3
+	share := 0.3
+	if b.jammed() > shortFleet {
+		share = 0.1
+	}
 	excess := share * min(max(2*slowness-1, 0), 1) * s.weight
 	var open []*request
 	for _, r := range s.held {
-		if r.open {
+		if r.open && !r.moved {
 			open = append(open, r)
 		}
 	}
@@ -427,6 +493,7 @@
 		if excess < r.weight && b.rng.Float64()*r.weight >= excess {
 			return
 		}
+		r.moved = true
 		b.do(Move{ID: r.ID})
 		excess -= r.weight
 		if excess <= 0 {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -337,3 +337,83 @@
 		t.Errorf("let in %v of 1000 each", in)
 	}
 }
+
+// Clients are told to leave a draining server before it stops: from the next epoch on, when the table has other
+// places for them, over DrainGrace, in even parts, each once; and none of a server that came back into service.
+// While the gate is not open they stay for up to DrainGrace more, as they would be refused elsewhere.
+func TestDrainingServerIsLeft(t *testing.T) {
+	const n = 40
+	set := testSettings()
+	grace, turn := set.Rules.DrainGrace, set.Rules.DrainGrace/leaveTurns
+	for _, c := range []struct {
+		name        string
+		back        bool
+		gate        float64
+		moves       int
+		first, last time.Duration // after the news at 3 s
+	}{
+		{"drains", false, 1, n, sec, sec + 9*turn},
+		{"back in service", true, 1, 0, 0, 0},
+		{"gate closed", false, 0.5, n, grace, grace + 9*turn},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := start(t, set, fleetOf(3), 1)
+			now := 3 * sec
+			for i := range n {
+				b.Handle(now, Open{Request: req(i, now), Server: serverID(0)})
+			}
+			b.gate, b.pressedAt = c.gate, 1000*sec // it stays as it is
+			if c.gate < 1 {
+				now += sec - grace/2 // so that waiting starts at an epoch's end
+			}
+			told := now
+			drain := fleetOf(3)[:1]
+			drain[0].Phase = Draining
+			timers := only[SetTimer](b.Handle(now, Members{Kind: Changes, Entries: drain}))
+			if c.back {
+				b.Handle(now, Members{Kind: Changes, Entries: fleetOf(3)[:1]})
+			}
+			moved, at := map[string]bool{}, []time.Duration(nil)
+			for len(timers) > 0 {
+				now += timers[0].Delay
+				out := b.Handle(now, Timer{Token: timers[0].Token})
+				moves := only[Move](out)
+				if len(moves) > n/leaveTurns {
+					t.Errorf("%d moves in one turn", len(moves))
+				}
+				for _, m := range moves {
+					if moved[m.ID] {
+						t.Errorf("%s moved twice", m.ID)
+					}
+					moved[m.ID] = true
+					at = append(at, now-told)
+				}
+				timers = only[SetTimer](out)
+			}
+			if len(moved) != c.moves {
+				t.Fatalf("%d moved, want %d", len(moved), c.moves)
+			}
+			if c.moves > 0 && (at[0] != c.first || at[n-1] != c.last) {
+				t.Errorf("left from %v to %v, want %v to %v", at[0], at[n-1], c.first, c.last)
+			}
+		})
+	}
+}
+
+// One slow server is relieved of three tenths a note; where the fleet is short, of a tenth, since what one server
+// sheds would jam the next.
+func TestReliefIsGentleInAShortFleet(t *testing.T) {
+	for _, c := range []struct{ slow, moves int }{{1, 30}, {2, 30}, {3, 10}} {
+		b := start(t, testSettings(), fleetOf(9), 1)
+		now := 3 * sec
+		for i := range 100 {
+			b.Handle(now, Open{Request: req(i, now), Server: serverID(0)})
+		}
+		for i := c.slow - 1; i > 0; i-- {
+			b.Handle(now, DelayNote{Server: serverID(i), Delay: sec})
+		}
+		if got := len(only[Move](b.Handle(now, DelayNote{Server: serverID(0), Delay: sec}))); got != c.moves {
+			t.Errorf("%d of 9 slow: %d moves, want %d", c.slow, got, c.moves)
+		}
+	}
+}
