--- a/balancer.go
+++ b/balancer.go
@@ -1,6 +1,6 @@
-// Package loompick decides for a node that balances long-lived connections: where each goes, what to do when
+// Package micafront decides for a node that balances long-lived connections: where each goes, what to do when
 // that fails, and when to refuse. Its interface, Settings, events and actions, is in api.go.
-package loompick
+package micafront
 
 import (
 	"fmt"
@@ -80,7 +80,7 @@
 // SavedList.
 func New(set Settings, seed uint64) (*Balancer, error) {
 	if err := set.validate(); err != nil {
-		return nil, fmt.Errorf("loompick: %w", err)
+		return nil, fmt.Errorf("micafront: %w", err)
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), gate: 1,
 		classes: map[string]*Class{}, usual: map[*Class]float64{}, crowd: crowd{count: map[uint64]float64{}},
--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -9,8 +9,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"example.org/loompick/internal/config"
-	"example.org/loompick/internal/proxy"
+	"example.org/micafront/internal/config"
+	"example.org/micafront/internal/proxy"
 )
 
 func main() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -1,4 +1,4 @@
-// Command wirehost runs many independent loompick instances on the simulator's wire.
+// Command wirehost runs many independent micafront instances on the simulator's wire.
 package main
 
 import (
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"example.org/loompick"
-	"example.org/loompick/internal/wire"
+	"example.org/micafront"
+	"example.org/micafront/internal/wire"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 
 func run(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
-	nodes := map[int]*loompick.Balancer{}
+	nodes := map[int]*micafront.Balancer{}
 	for {
 		line, err := r.ReadBytes('\n')
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -46,7 +46,7 @@
 	}
 }
 
-func handle(nodes map[int]*loompick.Balancer, line []byte) ([]byte, error) {
+func handle(nodes map[int]*micafront.Balancer, line []byte) ([]byte, error) {
 	batch, err := wire.Decode(line)
 	if err != nil {
 		return nil, err
@@ -57,7 +57,7 @@
 		case in.Kill:
 			delete(nodes, in.Node)
 		case in.Start != nil:
-			b, err := loompick.New(in.Start.Settings, in.Start.Seed)
+			b, err := micafront.New(in.Start.Settings, in.Start.Seed)
 			if err != nil {
 				return nil, fmt.Errorf("frame %d, event %d: Configure: %w", batch.Frame, i, err)
 			}
@@ -84,7 +84,7 @@
 }
 
 // guarded turns a panic of the module into a text.
-func guarded(b *loompick.Balancer, now loompick.Instant, e loompick.Event) (out []loompick.Action, broken string) {
+func guarded(b *micafront.Balancer, now micafront.Instant, e micafront.Event) (out []micafront.Action, broken string) {
 	defer func() {
 		if p := recover(); p != nil {
 			out, broken = nil, fmt.Sprint(p)
--- a/fleet.go
+++ b/fleet.go
@@ -1,4 +1,4 @@
-package loompick
+package micafront
 
 import (
 	"cmp"
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,9 +8,9 @@
 	"os"
 	"strconv"
 
-	"example.org/loompick"
-	"example.org/loompick/internal/registry"
-	"example.org/loompick/internal/wire"
+	"example.org/micafront"
+	"example.org/micafront/internal/registry"
+	"example.org/micafront/internal/wire"
 	jsoniter "github.com/json-iterator/go"
 )
 
@@ -20,7 +20,7 @@
 	Seed                    uint64
 	MemoryMB, Sockets       int
 	Known                   registry.List
-	Settings                loompick.Settings
+	Settings                micafront.Settings
 	// LoadIsDelay tells what a next hop's load line means: at sites that tell of delays but not of loads
 	// its figure is the milliseconds that a message takes there now.
 	LoadIsDelay bool
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"example.org/loompick"
+	"example.org/micafront"
 )
 
 // Admit: from here on the request is owed one final answer; the module decides which.
@@ -34,7 +34,7 @@
 	p.tell(p.request(f))
 }
 
-func (p *Proxy) classOf(name string) loompick.Class {
+func (p *Proxy) classOf(name string) micafront.Class {
 	for _, c := range p.set.Classes {
 		if c.Name == name {
 			return c
@@ -43,9 +43,9 @@
 	return p.set.Classes[0]
 }
 
-func (p *Proxy) request(f *flow) loompick.Request {
+func (p *Proxy) request(f *flow) micafront.Request {
 	o := f.opening
-	return loompick.Request{ID: f.id, Class: o.Class, Group: o.Group, Key: o.Key, Deadline: f.deadline,
+	return micafront.Request{ID: f.id, Class: o.Class, Group: o.Group, Key: o.Key, Deadline: f.deadline,
 		Hint: o.Hint, MidFlow: o.MidFlow, Repeat: o.Repeat, Returned: o.Again}
 }
 
@@ -82,5 +82,5 @@
 		f.callOff()
 		return
 	}
-	f.p.tell(loompick.ClientGone{ID: f.id})
+	f.p.tell(micafront.ClientGone{ID: f.id})
 }
--- a/internal/proxy/book.go
+++ b/internal/proxy/book.go
@@ -1,30 +1,30 @@
 package proxy
 
-import "example.org/loompick"
+import "example.org/micafront"
 
 // Book: the one outcome of each attempt, and the end of a flow.
 
-func (p *Proxy) book(a *attempt, s loompick.Status) {
+func (p *Proxy) book(a *attempt, s micafront.Status) {
 	f := a.f
 	switch s {
-	case loompick.OK:
+	case micafront.OK:
 		p.count.OutcomeOK++
-	case loompick.AppError:
+	case micafront.AppError:
 		p.count.OutcomeError++
-	case loompick.Full:
+	case micafront.Full:
 		p.count.OutcomeFull++
-	case loompick.Timeout:
+	case micafront.Timeout:
 		p.count.OutcomeTimeout++
-	case loompick.ConnectFailed:
+	case micafront.ConnectFailed:
 		p.count.OutcomeNoConnect++
-	case loompick.Reset:
+	case micafront.Reset:
 		p.count.OutcomeReset++
-	case loompick.Cancelled:
+	case micafront.Cancelled:
 		p.count.OutcomeCancelled++
-	case loompick.Moot:
+	case micafront.Moot:
 		p.count.OutcomeMoot++
 	}
-	p.tell(loompick.Outcome{ID: f.id, Server: a.hop.id, Attempt: a.no, Status: s,
+	p.tell(micafront.Outcome{ID: f.id, Server: a.hop.id, Attempt: a.no, Status: s,
 		Latency: p.loop.Now() - a.sentAt, Final: f.answered})
 	p.forget(f)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,11 +8,11 @@
 	"io"
 	"time"
 
-	"example.org/loompick"
-	"example.org/loompick/internal/config"
-	"example.org/loompick/internal/counters"
-	"example.org/loompick/internal/evloop"
-	"example.org/loompick/internal/registry"
+	"example.org/micafront"
+	"example.org/micafront/internal/config"
+	"example.org/micafront/internal/counters"
+	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/registry"
 )
 
 var errOverlong = errors.New("message too long")
@@ -22,15 +22,15 @@
 	loop     *evloop.Loop
 	listener *evloop.Listener
 	protocol Protocol
-	module   *loompick.Balancer
-	set      loompick.Settings
+	module   *micafront.Balancer
+	set      micafront.Settings
 	registry *registry.Client
 	delays   bool // a next hop's load line tells milliseconds a message, not load
 	sockets  int  // descriptors that may be open; 0: as many as the system gives
 	log      io.Writer
 	count    counters.Counters
 
-	news    []loompick.Event // for the module
+	news    []micafront.Event // for the module
 	turning bool
 
 	flows   map[string]*flow // by the id that the module knows
@@ -74,7 +74,7 @@
 
 // New makes a proxy that listens but does not run yet.
 func New(c *config.Config, log io.Writer) (*Proxy, error) {
-	module, err := loompick.New(c.Settings, c.Seed)
+	module, err := micafront.New(c.Settings, c.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -89,7 +89,7 @@
 	if p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed); err != nil {
 		return nil, err
 	}
-	p.hearList(c.Known, loompick.SavedList)
+	p.hearList(c.Known, micafront.SavedList)
 	p.sweep()
 	return p, nil
 }
@@ -136,7 +136,7 @@
 		steps := max((stopLast-time.Second-past)/stopStep, 1)
 		for n := (len(p.open) + int(steps) - 1) / int(steps); n > 0 && len(p.open) > 0; n-- {
 			p.count.MovesStop++
-			p.move(p.open[0], loompick.Cancelled)
+			p.move(p.open[0], micafront.Cancelled)
 		}
 	}
 	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"example.org/loompick"
-	"example.org/loompick/internal/counters"
+	"example.org/micafront"
+	"example.org/micafront/internal/counters"
 )
 
 // Relay: a connection that stands. Messages pass both ways unchanged; how long they take tells how the next
@@ -26,9 +26,9 @@
 	p.open = append(p.open, f)
 	f.answered = true
 	if standing := f.opening.Standing; standing != "" {
-		p.tell(loompick.Open{Request: p.request(f), Server: standing})
+		p.tell(micafront.Open{Request: p.request(f), Server: standing})
 	} else {
-		p.tell(loompick.First{ID: f.id, Server: a.hop.id, Attempt: a.no, Latency: p.loop.Now() - a.sentAt})
+		p.tell(micafront.First{ID: f.id, Server: a.hop.id, Attempt: a.no, Latency: p.loop.Now() - a.sentAt})
 	}
 	f.opening, f.stuck = nil, 0
 	if f.in != nil {
@@ -80,7 +80,7 @@
 	}
 	if len(a.tail) > p.protocol.MaxMessage() && !a.over {
 		p.count.Overlong++
-		p.move(f, loompick.Reset)
+		p.move(f, micafront.Reset)
 	}
 }
 
@@ -94,11 +94,11 @@
 		p.count.DelayNotes++
 		a.hop.told = p.loop.Now()
 		delay := time.Duration(min(x, 1e9) * float64(time.Millisecond))
-		p.tell(loompick.DelayNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Delay: delay})
+		p.tell(micafront.DelayNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Delay: delay})
 		return
 	}
 	p.count.LoadNotes++
-	p.tell(loompick.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
+	p.tell(micafront.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
 }
 
 // clientEnded passes on that the client ended its sending; what the next hop still says is relayed.
@@ -106,7 +106,7 @@
 	f.clientEnd = true
 	f.attempt.conn.CloseWrite()
 	a := f.attempt
-	a.limit = f.p.loop.After(halfOpenTime, func() { f.part(loompick.Cancelled, nil) })
+	a.limit = f.p.loop.After(halfOpenTime, func() { f.part(micafront.Cancelled, nil) })
 }
 
 // halfOpenTime is how long a next hop may still talk to a client that ended its sending.
@@ -114,18 +114,18 @@
 
 func (f *flow) clientBroke() {
 	f.attempt.conn.Abort()
-	f.part(loompick.Cancelled, nil)
+	f.part(micafront.Cancelled, nil)
 }
 
 // ending is how a connection that the next hop ended has ended.
-func (f *flow) ending() loompick.Status {
+func (f *flow) ending() micafront.Status {
 	switch {
 	case f.attempt.last == SignBye:
-		return loompick.OK
+		return micafront.OK
 	case f.attempt.last == SignMove || f.clientEnd:
-		return loompick.Cancelled
+		return micafront.Cancelled
 	}
-	return loompick.Reset
+	return micafront.Reset
 }
 
 func (f *flow) hopEnded() {
@@ -136,7 +136,7 @@
 func (f *flow) hopBroke() {
 	f.p.count.Ended++
 	status := f.ending()
-	if f.client != nil && f.client.Pending() == 0 && status == loompick.Reset {
+	if f.client != nil && f.client.Pending() == 0 && status == micafront.Reset {
 		f.client.Abort() // in the same manner
 		f.client = nil
 	}
@@ -144,10 +144,10 @@
 }
 
 // move sends the client away politely and leaves the next hop.
-func (p *Proxy) move(f *flow, s loompick.Status) { f.part(s, p.protocol.Move()) }
+func (p *Proxy) move(f *flow, s micafront.Status) { f.part(s, p.protocol.Move()) }
 
 // part ends both sides of a connection that stands, the sender side with a last message.
-func (f *flow) part(s loompick.Status, last []byte) {
+func (f *flow) part(s micafront.Status, last []byte) {
 	p, a := f.p, f.attempt
 	p.open[f.place] = p.open[len(p.open)-1]
 	p.open[f.place].place = f.place
@@ -193,7 +193,7 @@
 		switch {
 		case f.asked != 0 && now-f.asked >= silentAfter:
 			p.count.MovesSilent++
-			p.move(f, loompick.Reset)
+			p.move(f, micafront.Reset)
 		case !waiting:
 			f.stuck = 0
 		case f.stuck == 0:
@@ -201,7 +201,7 @@
 		case now-f.stuck >= stuckAfter:
 			p.count.SlowPeers++
 			f.attempt.conn.Abort()
-			f.part(loompick.Cancelled, nil)
+			f.part(micafront.Cancelled, nil)
 		}
 	}
 	if now-p.sweepAt >= noteEvery {
@@ -239,7 +239,7 @@
 		late := took > aim/3
 		if (late || h.late) && now-h.told > noteEvery*3/2 {
 			p.count.DelayNotes++
-			p.tell(loompick.DelayNote{ID: f.id, Server: h.id, Attempt: f.attempts - 1, Delay: took})
+			p.tell(micafront.DelayNote{ID: f.id, Server: h.id, Attempt: f.attempts - 1, Delay: took})
 		}
 		h.late = late
 	}
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -3,15 +3,15 @@
 import (
 	"fmt"
 
-	"example.org/loompick"
-	"example.org/loompick/internal/registry"
+	"example.org/micafront"
+	"example.org/micafront/internal/registry"
 )
 
 // Route: events go to the module and its actions are carried out, in order.
 
 // tell queues an event. What the module's actions cause in turn is queued behind, so that the module is never
 // entered twice.
-func (p *Proxy) tell(e loompick.Event) {
+func (p *Proxy) tell(e micafront.Event) {
 	p.news = append(p.news, e)
 	if p.turning {
 		return
@@ -29,45 +29,45 @@
 	p.turning = false
 }
 
-func (p *Proxy) do(a loompick.Action) {
+func (p *Proxy) do(a micafront.Action) {
 	switch a := a.(type) {
-	case loompick.Send:
+	case micafront.Send:
 		if f := p.flows[a.ID]; f != nil {
 			p.send(f, a)
 		}
-	case loompick.Refuse:
+	case micafront.Refuse:
 		if f := p.flows[a.ID]; f != nil {
 			p.refuse(f, a.After)
 		}
-	case loompick.Fail:
+	case micafront.Fail:
 		if f := p.flows[a.ID]; f != nil {
 			p.fail(f)
 		}
-	case loompick.Cancel:
+	case micafront.Cancel:
 		if f := p.flows[a.ID]; f != nil && f.attempt != nil && f.attempt.no == a.Attempt && f.place < 0 {
 			f.callOff()
 		}
-	case loompick.Move:
+	case micafront.Move:
 		if f := p.flows[a.ID]; f != nil && f.place >= 0 {
 			p.count.Moves++
-			p.move(f, loompick.Cancelled)
+			p.move(f, micafront.Cancelled)
 		}
-	case loompick.SetTimer:
-		p.loop.After(a.Delay, func() { p.tell(loompick.Timer{Token: a.Token}) })
-	case loompick.Watch:
+	case micafront.SetTimer:
+		p.loop.After(a.Delay, func() { p.tell(micafront.Timer{Token: a.Token}) })
+	case micafront.Watch:
 		p.registry.Watch(a.On)
-	case loompick.Fetch:
+	case micafront.Fetch:
 		p.registry.Fetch()
-	case loompick.Log:
+	case micafront.Log:
 		fmt.Fprintln(p.log, a.Text)
-	case loompick.Probe:
+	case micafront.Probe:
 		// The module asks for none today; one that does hears that it never went out.
-		p.tell(loompick.Probed{Server: a.Server, Status: loompick.Moot})
+		p.tell(micafront.Probed{Server: a.Server, Status: micafront.Moot})
 	}
 }
 
 // hearList takes the transport map's news.
-func (p *Proxy) hearList(l registry.List, kind loompick.ListKind) {
+func (p *Proxy) hearList(l registry.List, kind micafront.ListKind) {
 	p.count.Lists++
 	p.count.ListChanges++
 	for _, e := range l.Instances {
@@ -87,5 +87,5 @@
 func (p *Proxy) listFailed(err error) {
 	p.count.ListFailures++
 	fmt.Fprintln(p.log, err)
-	p.tell(loompick.Members{Kind: loompick.ListFailed})
+	p.tell(micafront.Members{Kind: micafront.ListFailed})
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"example.org/loompick"
-	"example.org/loompick/internal/evloop"
+	"example.org/micafront"
+	"example.org/micafront/internal/evloop"
 )
 
 // Send: one delivery attempt, from the dial to the next hop's first word. Each ends in exactly one outcome.
@@ -24,7 +24,7 @@
 	limit  *evloop.Timer
 }
 
-func (p *Proxy) send(f *flow, s loompick.Send) {
+func (p *Proxy) send(f *flow, s micafront.Send) {
 	now := p.loop.Now()
 	a := &attempt{f: f, no: f.attempts, hop: p.hops[s.Server], sentAt: now, until: f.deadline}
 	f.attempts++
@@ -37,7 +37,7 @@
 	if f.answered || f.attempt != nil || a.no >= p.set.Limits.Attempts || a.until <= now {
 		// Never two at once, none past the end: what must not go out is reported as never sent.
 		a.over = true
-		p.book(a, loompick.Moot)
+		p.book(a, micafront.Moot)
 		return
 	}
 	f.attempt = a
@@ -51,16 +51,16 @@
 	conn, err := p.loop.Dial(a.hop.addr, a)
 	if err != nil {
 		p.count.DialErrors++
-		status := loompick.Moot
+		status := micafront.Moot
 		if evloop.Refused(err) {
-			status = loompick.ConnectFailed
+			status = micafront.ConnectFailed
 		}
 		a.end(status)
 		return
 	}
 	a.conn = conn
 	wait := min(p.set.Limits.ConnectTimeout, a.until-p.loop.Now())
-	a.limit = p.loop.After(wait, func() { a.end(loompick.ConnectFailed) })
+	a.limit = p.loop.After(wait, func() { a.end(micafront.ConnectFailed) })
 }
 
 // Opened and the methods below are evloop's Handler.
@@ -78,10 +78,10 @@
 
 func (a *attempt) expired() {
 	if !a.wrote {
-		a.end(loompick.ConnectFailed)
+		a.end(micafront.ConnectFailed)
 		return
 	}
-	a.end(loompick.Timeout)
+	a.end(micafront.Timeout)
 }
 
 func (a *attempt) Drained() {
@@ -115,16 +115,16 @@
 			a.f.answered = true
 			p.count.Served++
 			a.f.endClient(m)
-			a.end(loompick.OK)
+			a.end(micafront.OK)
 		case SignMove:
-			a.end(loompick.Cancelled)
+			a.end(micafront.Cancelled)
 		case SignFull:
-			a.end(loompick.Full)
+			a.end(micafront.Full)
 		case SignError:
-			a.end(loompick.AppError)
+			a.end(micafront.AppError)
 		case SignOther:
 			p.count.BadLines++
-			a.end(loompick.AppError)
+			a.end(micafront.AppError)
 		}
 		b = rest
 	}
@@ -133,7 +133,7 @@
 	}
 	if len(b) > p.protocol.MaxMessage() {
 		p.count.Overlong++
-		a.end(loompick.AppError)
+		a.end(micafront.AppError)
 		return
 	}
 	a.tail = append(a.tail[:0], b...)
@@ -157,21 +157,21 @@
 
 func (a *attempt) broke() {
 	if !a.wrote {
-		a.end(loompick.ConnectFailed)
+		a.end(micafront.ConnectFailed)
 		return
 	}
-	a.end(loompick.Reset)
+	a.end(micafront.Reset)
 }
 
 // callOff ends the attempt that is out, if one is. One that still dials never writes its line.
 func (f *flow) callOff() {
 	if f.attempt != nil {
-		f.attempt.end(loompick.Cancelled)
+		f.attempt.end(micafront.Cancelled)
 	}
 }
 
 // end closes the attempt's connection before its outcome is told: the module may send the next one at once.
-func (a *attempt) end(s loompick.Status) {
+func (a *attempt) end(s micafront.Status) {
 	if a.over {
 		return
 	}
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"example.org/loompick/internal/evloop"
+	"example.org/micafront/internal/evloop"
 )
 
 // Take in: a client's connection, up to its first message understood.
--- a/internal/proxy/text.go
+++ b/internal/proxy/text.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"time"
 
-	"example.org/loompick/internal/line"
+	"example.org/micafront/internal/line"
 )
 
 // Text is the line protocol.
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"example.org/loompick"
-	"example.org/loompick/internal/evloop"
+	"example.org/micafront"
+	"example.org/micafront/internal/evloop"
 )
 
 // An empty line comes every 2 s on a quiet watch, and what discovery has to tell counts as told after 6 s
@@ -24,7 +24,7 @@
 	Loop       *evloop.Loop
 	Addr       string
 	Generation int64 // of the latest list
-	Heard      func(List, loompick.ListKind)
+	Heard      func(List, micafront.ListKind)
 	Failed     func(error)
 
 	watch *call
@@ -117,7 +117,7 @@
 			k.fail(errors.New("the list was overtaken by the watch")) // it must not go back in time
 		} else {
 			k.stop()
-			k.c.heard(l, loompick.FullList)
+			k.c.heard(l, micafront.FullList)
 		}
 		return
 	}
@@ -156,9 +156,9 @@
 		if err != nil {
 			return err
 		}
-		kind := loompick.Changes
+		kind := micafront.Changes
 		if l.Reset {
-			kind = loompick.FullList
+			kind = micafront.FullList
 		}
 		k.c.heard(l, kind)
 	}
@@ -168,7 +168,7 @@
 	return nil
 }
 
-func (c *Client) heard(l List, kind loompick.ListKind) {
+func (c *Client) heard(l List, kind micafront.ListKind) {
 	c.Generation = l.Generation
 	c.Heard(l, kind)
 }
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"example.org/loompick"
+	"example.org/micafront"
 	jsoniter "github.com/json-iterator/go"
 )
 
@@ -31,8 +31,8 @@
 	StartedAtMs int64   `json:"startedAtMs"`
 }
 
-var phases = map[string]loompick.Phase{
-	"in_service": loompick.Ready, "terminating": loompick.Draining, "terminated": loompick.Gone}
+var phases = map[string]micafront.Phase{
+	"in_service": micafront.Ready, "terminating": micafront.Draining, "terminated": micafront.Gone}
 
 // ParseList reads one object and refuses one that makes no sense.
 func ParseList(text []byte) (List, error) {
@@ -55,10 +55,10 @@
 }
 
 // Members is the list as the module's event. Its times are on the loop's scale, which is Unix time.
-func (l *List) Members(kind loompick.ListKind) loompick.Members {
-	m := loompick.Members{Kind: kind, Version: l.Generation}
+func (l *List) Members(kind micafront.ListKind) micafront.Members {
+	m := micafront.Members{Kind: kind, Version: l.Generation}
 	for _, e := range l.Instances {
-		m.Entries = append(m.Entries, loompick.Member{Server: e.ID, Phase: phases[e.Lifecycle],
+		m.Entries = append(m.Entries, micafront.Member{Server: e.ID, Phase: phases[e.Lifecycle],
 			StartedAt: time.Duration(e.StartedAtMs) * time.Millisecond, Size: e.Weight, Zone: e.Zone,
 			Cell: e.Cell})
 	}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"example.org/loompick"
+	"example.org/micafront"
 )
 
 // Reply builds one line of output.
@@ -70,52 +70,52 @@
 }
 
 // Add appends one action of an instance.
-func (r *Reply) Add(node int, a loompick.Action) error {
+func (r *Reply) Add(node int, a micafront.Action) error {
 	switch a := a.(type) {
-	case loompick.Send:
+	case micafront.Send:
 		r.open("HandOff", node)
 		r.text("Rid", a.ID)
 		r.text("Host", a.Server)
 		if a.Timeout != 0 {
 			r.seconds("Limit", a.Timeout)
 		}
-	case loompick.Refuse:
+	case micafront.Refuse:
 		r.open("Reject", node)
 		r.text("Rid", a.ID)
 		if a.After > 0 {
 			r.seconds("NotBeforeFor", a.After)
 		}
-	case loompick.Fail:
+	case micafront.Fail:
 		r.open("Lose", node)
 		r.text("Rid", a.ID)
-	case loompick.Cancel:
+	case micafront.Cancel:
 		r.open("UndoSend", node)
 		r.text("Rid", a.ID)
 		r.integer("SendNo", a.Attempt)
-	case loompick.SetTimer:
+	case micafront.SetTimer:
 		r.open("Arm", node)
 		r.seconds("Delay", a.Delay)
 		r.text("Label", a.Token)
-	case loompick.Move:
+	case micafront.Move:
 		r.open("Migrate", node)
 		r.text("Rid", a.ID)
-	case loompick.Probe:
+	case micafront.Probe:
 		r.open("HealthCheck", node)
 		r.text("Host", a.Server)
-	case loompick.CloseIdle:
+	case micafront.CloseIdle:
 		r.open("FreeLinks", node)
 		r.text("Host", a.Server)
-	case loompick.Watch:
+	case micafront.Watch:
 		r.open("Watch", node)
 		r.member("Enable")
 		r.buf = strconv.AppendBool(r.buf, a.On)
-	case loompick.Fetch:
+	case micafront.Fetch:
 		r.open("ReadList", node)
-	case loompick.Tell:
+	case micafront.Tell:
 		r.open("Notify", node)
 		r.integer("Peer", a.To)
 		r.text("Content", a.Data)
-	case loompick.Log:
+	case micafront.Log:
 		r.open("Emit", node)
 		r.text("ReasonText", a.Text)
 	default:
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"example.org/loompick"
+	"example.org/micafront"
 )
 
 type envJSON struct {
@@ -36,18 +36,18 @@
 	OverShareWorth float64
 }
 
-var effects = map[string]loompick.Effect{
-	"safe": loompick.Safe, "keyed": loompick.Keyed, "unsafe": loompick.Unsafe}
+var effects = map[string]micafront.Effect{
+	"safe": micafront.Safe, "keyed": micafront.Keyed, "unsafe": micafront.Unsafe}
 
-var scopes = map[string]loompick.Scope{
-	"all": loompick.ScopeAll, "zone": loompick.ScopeZone, "cell": loompick.ScopeCell}
+var scopes = map[string]micafront.Scope{
+	"all": micafront.ScopeAll, "zone": micafront.ScopeZone, "cell": micafront.ScopeCell}
 
-func (e *envJSON) settings() loompick.Settings {
-	s := loompick.Settings{Nodes: e.Balancers, Self: e.Me, Zone: e.Zone, Subscribe: e.Discovery == "subscribe",
+func (e *envJSON) settings() micafront.Settings {
+	s := micafront.Settings{Nodes: e.Balancers, Self: e.Me, Zone: e.Zone, Subscribe: e.Discovery == "subscribe",
 		PassThrough: e.FamilyInfo.Mode == "pass", OverShareWorth: e.OverShareWorth}
 	for i, c := range e.Categories {
-		class := loompick.Class{Name: c.Name, Aim: Seconds(c.Aim), GiveUp: Seconds(c.GiveUp), Worth: c.Credit,
-			Dedup: scopes[c.DedupScope], Memory: Seconds(c.MemorySpan), Effect: loompick.Unsafe}
+		class := micafront.Class{Name: c.Name, Aim: Seconds(c.Aim), GiveUp: Seconds(c.GiveUp), Worth: c.Credit,
+			Dedup: scopes[c.DedupScope], Memory: Seconds(c.MemorySpan), Effect: micafront.Unsafe}
 		if known, ok := effects[c.Effect]; ok { // an effect not known here is treated as the strictest
 			class.Effect = known
 		}
@@ -57,27 +57,27 @@
 		s.Classes = append(s.Classes, class)
 	}
 	for i, t := range e.Customers {
-		tenant := loompick.Tenant{Name: t.Name, PerSecond: t.QuotaPerS, Share: t.Share}
+		tenant := micafront.Tenant{Name: t.Name, PerSecond: t.QuotaPerS, Share: t.Share}
 		if i < len(e.FamilyInfo.TenantQuotaConnections) {
 			tenant.Connections = e.FamilyInfo.TenantQuotaConnections[i]
 		}
 		s.Tenants = append(s.Tenants, tenant)
 	}
 	l, r := e.Limits, e.Invariants
-	s.Limits = loompick.Limits{Attempts: l.AttemptsCap, ConnectTimeout: Seconds(l.ConnectTimeout),
+	s.Limits = micafront.Limits{Attempts: l.AttemptsCap, ConnectTimeout: Seconds(l.ConnectTimeout),
 		MaxRetryAfter: Seconds(l.MaxRetryAfter), MaxOpen: l.MaxOpen, RetryAfter: l.RetryAfter,
 		Probes: l.Probes, Cancel: l.MayCancel, SecondCopies: l.SecondCopies}
-	s.Rules = loompick.Rules{AnswerSlack: Seconds(r.AnswerSlack), AskEvery: Seconds(r.AskEvery),
+	s.Rules = micafront.Rules{AnswerSlack: Seconds(r.AnswerSlack), AskEvery: Seconds(r.AskEvery),
 		Cold: Seconds(r.Cold), ColdFrom: r.ColdFrom, DrainGrace: Seconds(r.DrainGrace), Fall: Seconds(r.Fall),
 		OverloadFactor: r.OverloadFactor}
 	return s
 }
 
 // DecodeSettings reads the settings object, as an instance gets it in its first message.
-func DecodeSettings(text []byte) (loompick.Settings, error) {
+func DecodeSettings(text []byte) (micafront.Settings, error) {
 	var e envJSON
 	if err := json.Unmarshal(text, &e); err != nil {
-		return loompick.Settings{}, err
+		return micafront.Settings{}, err
 	}
 	return e.settings(), nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire translates the simulator's dialect to loompick's events and actions. It decides nothing.
+// Package wire translates the simulator's dialect to micafront's events and actions. It decides nothing.
 package wire
 
 import (
@@ -10,14 +10,14 @@
 	"strconv"
 	"time"
 
-	"example.org/loompick"
+	"example.org/micafront"
 )
 
 // Start tells of an instance that begins with no state.
 type Start struct {
 	Node     int
 	Seed     uint64
-	Settings loompick.Settings
+	Settings micafront.Settings
 }
 
 // Input is one decoded event: at most one of Start, Kill and Event is set.
@@ -25,12 +25,12 @@
 	Node  int
 	Start *Start
 	Kill  bool
-	Event loompick.Event
+	Event micafront.Event
 }
 
 // Batch is one line of input.
 type Batch struct {
-	Now    loompick.Instant
+	Now    micafront.Instant
 	Frame  int64
 	Inputs []Input
 }
@@ -139,19 +139,19 @@
 	return false
 }
 
-var statuses = map[string]loompick.Status{
-	"delivered": loompick.OK, "app_error": loompick.AppError, "shed": loompick.Full,
-	"expired": loompick.Timeout, "dial_failed": loompick.ConnectFailed, "dropped": loompick.Reset,
-	"revoked": loompick.Cancelled, "unused": loompick.Moot,
+var statuses = map[string]micafront.Status{
+	"delivered": micafront.OK, "app_error": micafront.AppError, "shed": micafront.Full,
+	"expired": micafront.Timeout, "dial_failed": micafront.ConnectFailed, "dropped": micafront.Reset,
+	"revoked": micafront.Cancelled, "unused": micafront.Moot,
 }
 
-var listKinds = map[string]loompick.ListKind{
-	"INCREMENTAL": loompick.Changes, "FULL": loompick.FullList,
-	"SAVED": loompick.SavedList, "FAILED": loompick.ListFailed,
+var listKinds = map[string]micafront.ListKind{
+	"INCREMENTAL": micafront.Changes, "FULL": micafront.FullList,
+	"SAVED": micafront.SavedList, "FAILED": micafront.ListFailed,
 }
 
-var phases = map[string]loompick.Phase{
-	"healthy": loompick.Ready, "cordoned": loompick.Draining, "deregistered": loompick.Gone,
+var phases = map[string]micafront.Phase{
+	"healthy": micafront.Ready, "cordoned": micafront.Draining, "deregistered": micafront.Gone,
 }
 
 // Decode reads one line of input.
@@ -225,15 +225,15 @@
 		}
 	}
 	id, host := text(e.Rid), text(e.Host)
-	status := func() (loompick.Status, error) {
+	status := func() (micafront.Status, error) {
 		s, ok := statuses[*e.StateCode]
 		if !ok {
 			return 0, fmt.Errorf("%s: unknown StateCode %q", name, *e.StateCode)
 		}
 		return s, nil
 	}
-	request := func() loompick.Request {
-		r := loompick.Request{ID: id, Class: *e.Grade, Group: e.Group, Key: text(e.PartitionKey),
+	request := func() micafront.Request {
+		r := micafront.Request{ID: id, Class: *e.Grade, Group: e.Group, Key: text(e.PartitionKey),
 			Deadline: Seconds(*e.ValidUntil), MidFlow: e.StateBits&8 != 0, Repeat: e.StateBits&2 != 0,
 			Returned: e.StateBits&16 != 0}
 		if e.StateBits&1 != 0 {
@@ -262,7 +262,7 @@
 		if !ok {
 			return in, fmt.Errorf("%s: unknown How %q", name, *e.How)
 		}
-		ev := loompick.Members{Kind: kind, Version: e.SeqNo}
+		ev := micafront.Members{Kind: kind, Version: e.SeqNo}
 		for i, it := range e.Items {
 			if it.Host == nil || it.StageState == nil {
 				return in, fmt.Errorf("%s: entry %d lacks Host or StageState", name, i)
@@ -271,7 +271,7 @@
 			if !ok {
 				return in, fmt.Errorf("%s: entry %d: unknown StageState %q", name, i, *it.StageState)
 			}
-			ev.Entries = append(ev.Entries, loompick.Member{Server: *it.Host, Phase: ph,
+			ev.Entries = append(ev.Entries, micafront.Member{Server: *it.Host, Phase: ph,
 				StartedAt: Seconds(it.StartedAt), Size: it.Size, Zone: it.Campus, Cell: it.Cell})
 		}
 		in.Event = ev
@@ -281,14 +281,14 @@
 		if e.ValidUntil == nil {
 			e.ValidUntil = new(float64)
 		}
-		in.Event = loompick.Open{Request: request(), Server: host}
+		in.Event = micafront.Open{Request: request(), Server: host}
 	case "TimedOutClient":
-		in.Event = loompick.ClientGone{ID: id}
+		in.Event = micafront.ClientGone{ID: id}
 	case "UpdateOf":
 		if e.Kind == 1 {
-			in.Event = loompick.LoadNote{ID: id, Server: host, Attempt: *e.SendNo, Load: *e.Level / 1e6}
+			in.Event = micafront.LoadNote{ID: id, Server: host, Attempt: *e.SendNo, Load: *e.Level / 1e6}
 		} else if e.Kind == 2 {
-			in.Event = loompick.DelayNote{ID: id, Server: host, Attempt: *e.SendNo,
+			in.Event = micafront.DelayNote{ID: id, Server: host, Attempt: *e.SendNo,
 				Delay: Seconds(*e.Level / 1e3)}
 		} // other kinds: unknown here, ignored
 	case "Health":
@@ -296,21 +296,21 @@
 		if err != nil {
 			return in, err
 		}
-		in.Event = loompick.Probed{Server: host, Status: s, Latency: Seconds(e.DelaySeen),
-			Load: loompick.Load(e.Feedback)}
+		in.Event = micafront.Probed{Server: host, Status: s, Latency: Seconds(e.DelaySeen),
+			Load: micafront.Load(e.Feedback)}
 	case "Mail":
-		in.Event = loompick.PeerMessage{From: *e.By, Data: *e.Content}
+		in.Event = micafront.PeerMessage{From: *e.By, Data: *e.Content}
 	case "AckFirst":
-		in.Event = loompick.First{ID: id, Server: host, Attempt: *e.SendNo, Latency: Seconds(e.DelaySeen)}
+		in.Event = micafront.First{ID: id, Server: host, Attempt: *e.SendNo, Latency: Seconds(e.DelaySeen)}
 	case "Reminder":
-		in.Event = loompick.Timer{Token: *e.Label}
+		in.Event = micafront.Timer{Token: *e.Label}
 	case "Result":
 		s, err := status()
 		if err != nil {
 			return in, err
 		}
-		in.Event = loompick.Outcome{ID: id, Server: host, Attempt: *e.SendNo, Status: s,
-			Latency: Seconds(e.DelaySeen), Final: e.NoMore, Load: loompick.Load(e.Feedback)}
+		in.Event = micafront.Outcome{ID: id, Server: host, Attempt: *e.SendNo, Status: s,
+			Latency: Seconds(e.DelaySeen), Final: e.NoMore, Load: micafront.Load(e.Feedback)}
 	}
 	return in, nil
 }
