--- a/fleet.go
+++ b/fleet.go
@@ -101,15 +101,15 @@
 	}
 }
 
-// leaveTurns is in how many parts a draining server's connections are sent away, over DrainGrace: a crowd that
-// left all at once would come back as one, to servers that have yet to take over the leaver's share.
+// leaveTurns is in how many parts a draining server's connections are sent away, over DrainGrace: a crowd
+// that left all at once would come back as one, to servers that have yet to take over the leaver's share.
 const leaveTurns = 10
 
 const leaveToken = "leave:"
 
-// leave begins to send away what stands at a draining server: what is still there when it stops is cut off. It
-// begins with the next epoch, from which on the table has other places for its keys; sent away earlier, a group
-// would be strewn over stand-ins.
+// leave begins to send away what stands at a draining server: what is still there when it stops is cut off.
+// It begins with the next epoch, from which on the table has other places for its keys; sent away earlier, a
+// group would be strewn over stand-ins.
 func (b *Balancer) leave(s *server) {
 	if s.phase != Draining || s.leaving > 0 || len(s.held) == 0 {
 		return
@@ -118,8 +118,8 @@
 	b.timer(leaveToken+s.id, Instant(b.epoch()+1)*b.epochLength()-b.now)
 }
 
-// leaveTurn sends away this turn's part of those that stand. While the gate turns new clients away it waits for
-// a time: those sent away would be refused elsewhere, and the leaver still serves them.
+// leaveTurn sends away this turn's part of those that stand. While the gate turns new clients away it waits
+// for a time: those sent away would be refused elsewhere, and the leaver still serves them.
 func (b *Balancer) leaveTurn(s *server) {
 	if s.phase != Draining {
 		s.leaving = 0 // back in service, or gone with all that it held
@@ -454,8 +454,8 @@
 	b.relieve(s, float64(delay)/aim)
 }
 
-// jammed is the part of the fleet, by Size, that admits less than half of its keys for overload. Past a quarter
-// the fleet as a whole is short, and what one server sheds jams the next.
+// jammed is the part of the fleet, by Size, that admits less than half of its keys for overload. Past a
+// quarter the fleet as a whole is short, and what one server sheds jams the next.
 func (b *Balancer) jammed() float64 {
 	all, jammed := 0.0, 0.0
 	for _, s := range b.ready() {
@@ -472,8 +472,8 @@
 // relieve moves connections off a server whose messages come too late: all of its connections earn next to
 // nothing until its load falls, and left alone that takes as long as connections live. slowness is the delay
 // over the aim. Every node that holds some is told once a second, so each moves three tenths of its own at
-// most, a tenth where the fleet is short, by chance where it holds few; those that bring least for their load go first, and the gate may then
-// keep them out.
+// most, a tenth where the fleet is short, by chance where it holds few; those that bring least for their
+// load go first, and the gate may then keep them out.
 func (b *Balancer) relieve(s *server, slowness float64) {
 	share := 0.3
 	if b.jammed() > shortFleet {
