Move everybody off a next hop whose messages take Fall or longer while the fleet has room

At fault: relieve's three tenths, however long a message takes; a server that far behind earns nothing for anybody until its pile is worked off, and a move costs about a second's worth. Where over a quarter of the fleet is jammed it stays at a tenth.

--- a/fleet.go
+++ b/fleet.go
@@ -473,11 +473,14 @@
 // nothing until its load falls, and left alone that takes as long as connections live. slowness is the delay
 // over the aim. Every node that holds some is told once a second, so each moves three tenths of its own at
 // most, a tenth where the fleet is short, by chance where it holds few; those that bring least for their
-// load go first, and the gate may then keep them out.
+// load go first, and the gate may then keep them out. All go where a message takes Fall or longer, as at a
+// server that has stopped, and the fleet has room for them.
 func (b *Balancer) relieve(s *server, slowness float64) {
 	share := 0.3
 	if b.jammed() > shortFleet {
 		share = 0.1
+	} else if slowness*float64(b.minMessageAim) >= float64(b.set.Rules.Fall) {
+		share = 1 // it is lost for so long that a part less would not save the rest
 	}
 	excess := share * min(max(2*slowness-1, 0), 1) * s.weight
 	var open []*request
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -400,20 +400,25 @@
 	}
 }
 
-// One slow server is relieved of three tenths a note; where the fleet is short, of a tenth, since what one server
-// sheds would jam the next.
-func TestReliefIsGentleInAShortFleet(t *testing.T) {
-	for _, c := range []struct{ slow, moves int }{{1, 30}, {2, 30}, {3, 10}} {
+// One slow server is relieved of three tenths a note, of all where its messages take Fall or longer; where the
+// fleet is short, of a tenth, since what one server sheds would jam the next.
+func TestReliefFollowsTheFleet(t *testing.T) {
+	for _, c := range []struct {
+		slow  int
+		delay time.Duration
+		moves int
+	}{{1, sec, 30}, {2, sec, 30}, {3, sec, 10}, {1, 2 * sec, 100}, {2, 9 * sec, 100}, {3, 9 * sec, 10}} {
 		b := start(t, testSettings(), fleetOf(9), 1)
 		now := 3 * sec
 		for i := range 100 {
 			b.Handle(now, Open{Request: req(i, now), Server: serverID(0)})
 		}
 		for i := c.slow - 1; i > 0; i-- {
-			b.Handle(now, DelayNote{Server: serverID(i), Delay: sec})
+			b.Handle(now, DelayNote{Server: serverID(i), Delay: c.delay})
 		}
-		if got := len(only[Move](b.Handle(now, DelayNote{Server: serverID(0), Delay: sec}))); got != c.moves {
-			t.Errorf("%d of 9 slow: %d moves, want %d", c.slow, got, c.moves)
+		out := b.Handle(now, DelayNote{Server: serverID(0), Delay: c.delay})
+		if got := len(only[Move](out)); got != c.moves {
+			t.Errorf("%d of 9 slow by %v: %d moves, want %d", c.slow, c.delay, got, c.moves)
 		}
 	}
 }
