Answer what the listener's queue held at a stop; count broken lists; forget gone next hops

It now stops a step later at the earliest, and when nothing is owed. - evloop accept: where the poller refused a descriptor, the handler's time limit could later close the number, by then another connection's. The connection is marked closed. - route.go never let go of next hops that were gone, and list_broken never counted. Both are done.

--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -191,7 +191,8 @@
 	w.lists <- `{"generation":42,"reset":false,"instances":[{"instanceId":"s-7","lifecycle":"odd"}]}`
 	equal(t, "after nonsense", "watch=1&from=41", await(t, w.watches))
 	w.lists <- list(43, false, entry(h.id, h.addr, "in_service"))
-	w.counts("lists=2")
+	w.counts("list_changes=1")
+	w.counts("list_broken=1")
 	w.lists <- ""
 	equal(t, "after a change", "watch=1&from=43", await(t, w.watches))
 	// The table follows at the next epoch; until then requests are refused.
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -137,6 +137,8 @@
 			}
 			c := &Conn{loop: l, fd: nfd, writable: true}
 			if c.h = open(c); c.add() != nil {
+				// Its handler may still close it: by then the descriptor's number may be another's.
+				c.closed = true
 				_ = unix.Close(nfd)
 			}
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -41,6 +41,7 @@
 	sweepAt time.Duration
 
 	stopping    bool
+	closedAt    time.Duration // when the listener was closed; 0: it listens
 	lastTakenIn time.Duration
 }
 
@@ -140,13 +141,15 @@
 		}
 	}
 	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
-	if quiet && len(p.flows) == 0 || past >= stopLast {
+	if p.closedAt == 0 && (quiet && len(p.flows) == 0 || past >= stopLast) {
 		p.listener.Close()
-		if len(p.flows) == 0 || past >= stopLast+stopQuiet {
-			p.printNow(p.log)
-			_ = p.loop.Stop()
-			return
-		}
+		p.closedAt = now
+	}
+	// What the listener's queue still held has been accepted by its Close, but is yet to be read and answered.
+	if p.closedAt != 0 && (len(p.flows) == 0 && now-p.closedAt >= stopStep || past >= stopLast+stopQuiet) {
+		p.printNow(p.log)
+		_ = p.loop.Stop()
+		return
 	}
 	p.loop.After(stopStep, func() { p.stopTurn(since) })
 }
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 
 	"example.org/micafront"
@@ -68,8 +69,20 @@
 
 // hearList takes the transport map's news.
 func (p *Proxy) hearList(l registry.List, kind micafront.ListKind) {
-	p.count.Lists++
-	p.count.ListChanges++
+	if kind == micafront.Changes {
+		p.count.ListChanges++
+	} else {
+		p.count.Lists++
+		named := map[string]bool{}
+		for _, e := range l.Instances {
+			named[e.ID] = true
+		}
+		for id := range p.hops {
+			if !named[id] {
+				delete(p.hops, id) // those who are still connected keep their own hold on it
+			}
+		}
+	}
 	for _, e := range l.Instances {
 		h := p.hops[e.ID]
 		if h == nil {
@@ -80,12 +93,18 @@
 			h.addr = e.HostPort
 		}
 		h.zone = e.Zone
+		if e.Lifecycle == registry.Terminated {
+			delete(p.hops, e.ID)
+		}
 	}
 	p.tell(l.Members(kind))
 }
 
 func (p *Proxy) listFailed(err error) {
 	p.count.ListFailures++
+	if errors.Is(err, registry.ErrBroken) {
+		p.count.ListBroken++
+	}
 	fmt.Fprintln(p.log, err)
 	p.tell(micafront.Members{Kind: micafront.ListFailed})
 }
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -31,24 +31,30 @@
 	StartedAtMs int64   `json:"startedAtMs"`
 }
 
+// Terminated is the lifecycle of a next hop that is gone; it is named in changes only.
+const Terminated = "terminated"
+
+// ErrBroken means that discovery sent what is no list, or one that makes no sense.
+var ErrBroken = errors.New("transport map")
+
 var phases = map[string]micafront.Phase{
-	"in_service": micafront.Ready, "terminating": micafront.Draining, "terminated": micafront.Gone}
+	"in_service": micafront.Ready, "terminating": micafront.Draining, Terminated: micafront.Gone}
 
 // ParseList reads one object and refuses one that makes no sense.
 func ParseList(text []byte) (List, error) {
 	var l List
 	if err := json.Unmarshal(text, &l); err != nil {
-		return l, fmt.Errorf("transport map: %w", err)
+		return l, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	if l.Instances == nil && l.Reset { // a whole list of nothing would send everybody away
-		return l, errors.New("transport map: no instances")
+		return l, fmt.Errorf("%w: no instances", ErrBroken)
 	}
 	for _, e := range l.Instances {
 		if _, ok := phases[e.Lifecycle]; !ok || e.ID == "" {
-			return l, fmt.Errorf("transport map: entry %q has lifecycle %q", e.ID, e.Lifecycle)
+			return l, fmt.Errorf("%w: entry %q has lifecycle %q", ErrBroken, e.ID, e.Lifecycle)
 		}
 		if e.StartedAtMs < 0 || e.StartedAtMs > math.MaxInt64/int64(time.Millisecond) {
-			return l, fmt.Errorf("transport map: entry %q started at %d", e.ID, e.StartedAtMs)
+			return l, fmt.Errorf("%w: entry %q started at %d", ErrBroken, e.ID, e.StartedAtMs)
 		}
 	}
 	return l, nil
