Test slow peers and silent next hops; make the load line's test certain

The load-line test moved its client by chance: one next hop is the whole fleet, all of it jammed, so that each note moves a tenth of a connection (seen: four notes, no move, and only the relay's own 4 s limit acted). With five next hops there is room, and the first note of 3 s moves the client for certain. A silent next hop is now tested both ways, by the module's notes and by the relay's limit. Slow peers: 4 MiB each way with one side not read until the other is done, all lines in order.

--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -18,12 +18,21 @@
 	}
 }
 
-// one starts the program with a single next hop.
+// one starts the program with a single next hop, fleet with several, which share the channel of what comes.
 func one(t *testing.T, change ...func(*world)) (*world, chan *peer) {
+	t.Helper()
+	return fleet(t, 1, change...)
+}
+
+func fleet(t *testing.T, n int, change ...func(*world)) (*world, chan *peer) {
 	t.Helper()
 	conns := make(chan *peer, 64)
-	h := newHop(t, "s-1", conns)
-	return start(t, list(1, true, entry(h.id, h.addr, "in_service")), change...), conns
+	var entries []string
+	for i := range n {
+		h := newHop(t, fmt.Sprintf("s-%d", i+1), conns)
+		entries = append(entries, entry(h.id, h.addr, "in_service"))
+	}
+	return start(t, list(1, true, entries...), change...), conns
 }
 
 func TestFirstLineAndRelay(t *testing.T) {
@@ -152,32 +161,57 @@
 }
 
 // Where delays are told and loads are not, LOAD carries a message's milliseconds: a next hop far over the aim
-// loses clients, between two lines. A real load moves nobody.
+// loses its clients, between two lines.
 func TestLoadLineIsDelay(t *testing.T) {
-	w, conns := one(t, func(w *world) {
+	w, conns := fleet(t, 5, func(w *world) { // with room for who is moved
 		w.extra = `"FamilyInfo":{"MessageAim":[0.05],"TellsDelay":true,"TellsLoad":false},`
 	})
 	c, s := w.connect(conns, "key")
-	s.say("a\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\n" +
-		"LOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nLOAD 3000\r\nb")
-	equal(t, "first", "a", c.line())
-	for got := c.line(); got != "MOVE"; got = c.line() {
-		if got != "LOAD 3000" {
-			t.Fatalf("client got %q", got)
-		}
-	}
+	s.say("a\r\nLOAD 3000\r\nb")
+	equal(t, "whole lines, then the move", []string{"a", "LOAD 3000", "MOVE"},
+		[]string{c.line(), c.line(), c.line()})
 	equal(t, "end", "EOF", c.line())
 	w.counts("moves=1")
 }
 
-// A next hop on which nothing comes back is left within 7 s, with a polite move.
+// A next hop on which nothing comes back is left within 7 s, with a polite move: by the module, which hears how
+// old the unanswered line is, or by the relay itself where no aim is set for messages.
 func TestSilentNextHop(t *testing.T) {
+	for counter, extra := range map[string]string{
+		"moves":        `"FamilyInfo":{"MessageAim":[0.05]},`,
+		"moves_silent": "",
+	} {
+		t.Run(counter, func(t *testing.T) {
+			t.Parallel()
+			w, conns := fleet(t, 5, func(w *world) { w.extra = extra }) // with room for who is moved
+			c, s := w.connect(conns, "key")
+			c.say("M 1\r\n")
+			equal(t, "to next hop", "M 1", s.line())
+			equal(t, "moved", []string{"MOVE", "EOF"}, []string{c.line(), c.line()})
+			w.counts(counter + "=1")
+		})
+	}
+}
+
+// A peer that reads late gets everything, in order, though little of it is held for it in between.
+func TestSlowPeers(t *testing.T) {
 	w, conns := one(t)
 	c, s := w.connect(conns, "key")
-	c.say("M 1\r\n")
-	equal(t, "to next hop", "M 1", s.line())
-	equal(t, "moved", []string{"MOVE", "EOF"}, []string{c.line(), c.line()})
-	w.counts("moves_silent=1")
+	const lines = 1 << 16
+	for _, d := range []struct{ from, to *peer }{{c, s}, {s, c}} {
+		go func() {
+			for i := range lines {
+				fmt.Fprintf(d.from, "%064d\r\n", i)
+			}
+		}()
+	}
+	for _, p := range []*peer{c, s} { // the second waits until the first has had everything
+		for i := range lines {
+			if got, want := p.line(), fmt.Sprintf("%064d", i); got != want {
+				t.Fatalf("line %d: %q", i, got)
+			}
+		}
+	}
 }
 
 // Discovery's watch may end, answer nonsense, or come in pieces: the proxy asks again and follows.
