Read the configuration again on SIGHUP and move to the new discovery without a gap

Ruled out: EDGE_DISCOVERY as the source of the new address; it is fixed for a process's life, so the file's new word must win over it (config.Again). Changed: the handler is set before anything else; a bad file changes nothing; registry.Client.Move keeps hearing the old watch until the new one has spoken. TestReload fails without the handler, and without each part of the move.

--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -76,13 +76,33 @@
 	firsts   chan string
 }
 
+// discovery answers one watch at a time.
+type discovery struct {
+	addr    string
+	lists   chan string // what the watch sends next; "" ends it
+	watches chan string // queries of the watches that came
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &discovery{l.Addr().String(), make(chan string, 16), make(chan string, 64)}
+	srv := &http.Server{Handler: http.HandlerFunc(d.watch)}
+	go srv.Serve(l)
+	t.Cleanup(func() { srv.Close() })
+	return d
+}
+
 type world struct {
+	*discovery
 	t       *testing.T
 	addr    string
 	cmd     *exec.Cmd
+	path    string // of the configuration
 	errs    *lockedBuffer
-	lists   chan string // what discovery's watch sends next; "" ends it
-	watches chan string // queries of the watches that came
 	exited  chan error
 	sockets int
 	extra   string // further settings, as JSON members that end in a comma
@@ -139,25 +159,17 @@
 // start runs the program with a transport map and waits until it serves.
 func start(t *testing.T, known string, change ...func(*world)) *world {
 	t.Helper()
-	w := &world{t: t, errs: &lockedBuffer{}, lists: make(chan string, 16), watches: make(chan string, 64),
-		exited: make(chan error, 1), sockets: 1024}
+	w := &world{discovery: newDiscovery(t), t: t, errs: &lockedBuffer{}, exited: make(chan error, 1), sockets: 1024}
 	for _, f := range change {
 		f(w)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv := &http.Server{Handler: http.HandlerFunc(w.watch)}
-	go srv.Serve(l)
-	t.Cleanup(func() { srv.Close() })
-	w.cmd = program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5be964",
+	w.cmd, w.path = program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":{"Balancers":1,
 		"Discovery":"subscribe","Zone":"a",%s"Categories":[{"Name":"feed","Aim":30,"GiveUp":60,"Credit":5,
 		"Effect":"safe","DedupScope":"all"}],"Limits":{"AttemptsCap":6,"ConnectTimeout":20,
 		"MaxRetryAfter":1,"MaxOpen":100000,"RetryAfter":true,"MayCancel":true},"Invariants":{
 		"AnswerSlack":0.016,"AskEvery":1,"Cold":8.9,"ColdFrom":0.3,"DrainGrace":3,"Fall":1,
-		"OverloadFactor":3}}}`, l.Addr(), w.sockets, known, w.extra))
+		"OverloadFactor":3}}}`, w.discovery.addr, w.sockets, known, w.extra))
 	w.cmd.Stderr = w.errs
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -169,18 +181,31 @@
 	return w
 }
 
-// program is the real program with a configuration, not yet started.
-func program(t *testing.T, config string) *exec.Cmd {
-	path := filepath.Join(t.TempDir(), "config.json")
+// program is the real program with a configuration at path, not yet started.
+func program(t *testing.T, config string) (cmd *exec.Cmd, path string) {
+	path = filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
+	cmd = exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), childEnv+"=1", "EDGE_CONFIG="+path)
-	return cmd
+	return cmd, path
+}
+
+// reload replaces a text of the configuration and sends SIGHUP.
+func (w *world) reload(from, to string) {
+	w.t.Helper()
+	text, err := os.ReadFile(w.path)
+	if err == nil {
+		err = os.WriteFile(w.path, bytes.Replace(text, []byte(from), []byte(to), 1), 0o600)
+	}
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.cmd.Process.Signal(syscall.SIGHUP)
 }
 
-func (w *world) watch(rw http.ResponseWriter, r *http.Request) {
+func (w *discovery) watch(rw http.ResponseWriter, r *http.Request) {
 	w.watches <- r.URL.RawQuery
 	rw.WriteHeader(200)
 	for {
--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -29,6 +29,9 @@
 }
 
 func run() error {
+	// Before all else: until then a signal would end the program by its default action, SIGHUP too.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -38,13 +41,14 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				_ = p.Print(os.Stderr)
-			} else {
+			case syscall.SIGHUP:
+				c = reload(p, c)
+			default:
 				_ = p.Stop()
 			}
 		}
@@ -53,6 +57,18 @@
 	return p.Run()
 }
 
+// reload reads the file again and gives what is in force afterwards: a bad file changes nothing.
+func reload(p *proxy.Proxy, c *config.Config) *config.Config {
+	again, err := c.Again(os.Getenv)
+	if err != nil {
+		_ = p.Refused(err)
+		return c
+	}
+	limit(again)
+	_ = p.Reload(again)
+	return again
+}
+
 // limit keeps the process under its limits by itself: collecting garbage is better than being killed, and a
 // refused descriptor better than one too many.
 func limit(c *config.Config) {
@@ -61,8 +77,8 @@
 	}
 	if c.Sockets > 0 {
 		var r syscall.Rlimit
-		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && uint64(c.Sockets) < r.Cur {
-			r.Cur = uint64(c.Sockets)
+		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
+			r.Cur = min(uint64(c.Sockets), r.Max)
 			_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &r)
 		}
 	}
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -230,18 +230,13 @@
 	w.lists <- ""
 	equal(t, "after a change", "watch=1&from=43", await(t, w.watches))
 	// The table follows at the next epoch; until then requests are refused.
-	for {
-		c := w.dial()
-		c.say("OPEN id key c=feed,d=60000\r\n")
-		if strings.HasPrefix(c.line2(conns), "BUSY") {
-			continue
-		}
-		break
+	for got := ""; got != "UP r"; got = w.dial().ask(conns) {
 	}
 }
 
-// line2 reads an answer while a next hop may have to give it first.
-func (p *peer) line2(conns chan *peer) string {
+// ask opens a connection and reads the answer, while a next hop may have to give it first.
+func (p *peer) ask(conns chan *peer) string {
+	p.say("OPEN id key c=feed,d=60000\r\n")
 	got := make(chan string, 1)
 	go func() { got <- p.line() }()
 	select {
@@ -269,6 +264,40 @@
 	w.until("moves_stop=2")
 }
 
+// SIGHUP ended the program. It reads the configuration again: a bad one changes nothing; a new discovery is asked
+// for everything, its generations may be lower, and the old one's end is no failure.
+func TestReload(t *testing.T) {
+	w, conns := one(t)
+	c, s := w.connect(conns, "a")
+	await(t, w.watches)
+	w.lists <- list(2, false)
+	w.reload(`"known":{`, `"known":[{`)
+	w.until("configuration not taken")
+	w.reload(`"known":[{`, `"known":{`)
+	w.counts("reloads=1")
+	next := newDiscovery(t)
+	w.reload(w.discovery.addr, next.addr)
+	equal(t, "asked for", "watch=1&from=0", await(t, next.watches))
+	// Until the new one speaks, the old one is heard.
+	h := newHop(t, "s-2", conns)
+	w.lists <- list(3, false, entry("s-2", h.addr, "in_service"))
+	w.counts("list_changes=2")
+	next.lists <- list(1, true, entry("s-2", h.addr, "in_service"))
+	w.counts("lists=2") // the one in the configuration and this
+	w.lists <- list(4, false)
+	w.lists <- ""
+	next.lists <- ""
+	equal(t, "asked again", "watch=1&from=1", await(t, next.watches))
+	w.counts("list_changes=2")
+	w.counts("list_failures=1")
+	w.counts("reload_errors=1")
+	// The table follows at the next epoch; until then requests are refused.
+	for got := ""; got != "UP r"; got = w.dial().ask(conns) {
+	}
+	c.say("M 1\r\n")
+	equal(t, "a connection from before", "M 1", s.line())
+}
+
 // Running out of descriptors must not end the proxy: gnet's own acceptor would.
 func TestOutOfDescriptors(t *testing.T) {
 	w, conns := one(t, func(w *world) { w.sockets = 48 })
@@ -297,7 +326,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var errs bytes.Buffer
-			cmd := program(t, strings.Replace(good, c.from, c.to, 1))
+			cmd, _ := program(t, strings.Replace(good, c.from, c.to, 1))
 			cmd.Stderr = &errs
 			if cmd.Run() == nil {
 				t.Error("exit code 0")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,8 @@
 	// LoadIsDelay tells what a next hop's load line means: at sites that tell of delays but not of loads
 	// its figure is the milliseconds that a message takes there now.
 	LoadIsDelay bool
+
+	told string // the file's own word on discovery
 }
 
 type file struct {
@@ -40,7 +42,13 @@
 }
 
 // Load reads the environment and the file that EDGE_CONFIG names. The variables have the last word.
-func Load(env func(string) string) (*Config, error) {
+func Load(env func(string) string) (*Config, error) { return load(env, nil) }
+
+// Again reads the file once more, for a program that runs. A discovery address that the file did not name before
+// has the last word then: nobody can change the environment of a running process.
+func (c *Config) Again(env func(string) string) (*Config, error) { return load(env, c) }
+
+func load(env func(string) string, before *Config) (*Config, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG is not set")
@@ -55,11 +63,18 @@
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets}
+	c.told = f.Discovery
 	for _, v := range []struct {
 		name string
 		to   *string
 	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
-		if s := env(v.name); s != "" {
+		s := env(v.name)
+		if before != nil && v.to == &c.Discovery {
+			if s = before.Discovery; f.Discovery != before.told {
+				s = f.Discovery
+			}
+		}
+		if s != "" {
 			*v.to = s
 		}
 		if *v.to == "" {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -11,15 +11,16 @@
 
 // Counters are all figures of a proxy, in the order in which they are printed.
 type Counters struct {
-	Accepted, Pings, TakenIn, Standing, MidFlow                                  Counter
-	Attempts, Up                                                                 Counter
-	OutcomeOK, OutcomeError, OutcomeFull, OutcomeTimeout                         Counter
-	OutcomeNoConnect, OutcomeReset, OutcomeCancelled, OutcomeMoot                Counter
-	Served, Deferred, Failed, ClientGone                                         Counter
-	Moves, MovesSilent, MovesStop, Ended                                         Counter
-	BytesToNextHops, BytesToClients                                              Counter
-	BadLines, Overlong, NoFirstLine, NoRoom, AcceptErrors, DialErrors, SlowPeers Counter
-	Lists, ListChanges, ListFailures, ListBroken, DelayNotes, LoadNotes, OpenNow Counter
+	Accepted, Pings, TakenIn, Standing, MidFlow                                                Counter
+	Attempts, Up                                                                               Counter
+	OutcomeOK, OutcomeError, OutcomeFull, OutcomeTimeout                                       Counter
+	OutcomeNoConnect, OutcomeReset, OutcomeCancelled, OutcomeMoot                              Counter
+	Served, Deferred, Failed, ClientGone                                                       Counter
+	Moves, MovesSilent, MovesStop, Ended                                                       Counter
+	BytesToNextHops, BytesToClients                                                            Counter
+	BadLines, Overlong, NoFirstLine, NoRoom, AcceptErrors, DialErrors, SlowPeers               Counter
+	Lists, ListChanges, ListFailures, ListBroken, DelayNotes, LoadNotes, Reloads, ReloadErrors Counter
+	OpenNow                                                                                    Counter
 }
 
 // Print writes one line of name=value pairs.
@@ -41,7 +42,8 @@
 		{"no_room", c.NoRoom}, {"accept_errors", c.AcceptErrors}, {"dial_errors", c.DialErrors},
 		{"slow_peers", c.SlowPeers}, {"lists", c.Lists}, {"list_changes", c.ListChanges},
 		{"list_failures", c.ListFailures}, {"list_broken", c.ListBroken}, {"delay_notes", c.DelayNotes},
-		{"load_notes", c.LoadNotes}, {"open", c.OpenNow},
+		{"load_notes", c.LoadNotes}, {"reloads", c.Reloads}, {"reload_errors", c.ReloadErrors},
+		{"open", c.OpenNow},
 	} {
 		fmt.Fprintf(w, "%s=%d ", f.name, f.v)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -109,6 +109,25 @@
 	p.count.Print(w)
 }
 
+// Reload takes a configuration read again: where discovery is, and how many descriptors may be open. All else is
+// for the life of the process. It may be called from any goroutine while the proxy runs, as may Refused.
+func (p *Proxy) Reload(c *config.Config) error {
+	return p.loop.Post(func() {
+		p.count.Reloads++
+		p.sockets = c.Sockets
+		fmt.Fprintf(p.log, "configuration read again: discovery at %s\n", c.Discovery)
+		p.registry.Move(c.Discovery)
+	})
+}
+
+// Refused books a configuration that cannot be used; the old one stays in force.
+func (p *Proxy) Refused(err error) error {
+	return p.loop.Post(func() {
+		p.count.ReloadErrors++
+		fmt.Fprintln(p.log, "configuration not taken:", err)
+	})
+}
+
 const (
 	stopArrivals = 700 * time.Millisecond  // arrivals go on for up to 0.4 s after the signal
 	stopQuiet    = 300 * time.Millisecond  // and none must have come for this long
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,22 +29,72 @@
 	Heard      func(List, micafront.ListKind)
 	Failed     func(error)
 
-	watch *call
+	watch   *call
+	wanted  bool           // the module follows changes
+	former  *call          // the watch at the address before, until the new one has spoken
+	moved   bool           // nothing has been heard from the discovery that Move named
+	fetches map[*call]bool // on their way
 }
 
-// Watch asks for changes from now on, or cancels that. A watch that is up already is begun anew.
+// Watch asks for changes from now on, or cancels that. A watch that has spoken is begun anew; one that Move has
+// just begun is the one asked for.
 func (c *Client) Watch(on bool) {
+	c.wanted = on
+	if c.watch != nil && on && c.moved {
+		return
+	}
 	if c.watch != nil {
 		c.watch.stop()
 		c.watch = nil
 	}
 	if on {
-		c.watch = c.call("/registry/instances?watch=1&from="+strconv.FormatInt(c.Generation, 10), true)
+		c.begin()
+	} else {
+		c.forgetFormer()
 	}
 }
 
+func (c *Client) begin() {
+	c.watch = c.call("/registry/instances?watch=1&from="+strconv.FormatInt(c.Generation, 10), true)
+}
+
 // Fetch asks for the whole list once.
-func (c *Client) Fetch() { c.call("/registry/instances", false) }
+func (c *Client) Fetch() {
+	if c.fetches == nil {
+		c.fetches = map[*call]bool{}
+	}
+	c.fetches[c.call("/registry/instances", false)] = true
+}
+
+// Move goes over to another discovery without a gap: the watch at the old address is still heard until the new
+// one has spoken, since what discovery has written counts as told. How that one ends is no failure. Generations
+// of two discoveries do not compare, so the new one is asked for everything.
+func (c *Client) Move(addr string) {
+	if addr == c.Addr {
+		return
+	}
+	c.Addr, c.Generation, c.moved = addr, 0, true
+	for _, k := range slices.Collect(maps.Keys(c.fetches)) {
+		k.stop() // its answer is no longer of use; the new discovery gives the one report
+		c.Fetch()
+	}
+	if w := c.watch; w != nil && w.spoken {
+		c.forgetFormer()
+		c.former = w
+	} else if w != nil {
+		w.stop()
+	}
+	if c.watch = nil; c.wanted {
+		c.begin()
+	}
+}
+
+func (c *Client) forgetFormer() {
+	if c.former != nil {
+		c.former.stop()
+		c.former = nil
+	}
+}
 
 type call struct {
 	c      *Client
@@ -50,6 +102,7 @@
 	parser *parser
 	line   []byte
 	watch  bool
+	spoken bool // brought a line
 	over   bool
 	limit  *evloop.Timer
 	path   string
@@ -71,6 +124,7 @@
 
 func (k *call) stop() {
 	k.over = true
+	delete(k.c.fetches, k)
 	k.c.Loop.Cancel(k.limit)
 	if k.conn != nil {
 		k.conn.Close()
@@ -82,6 +136,10 @@
 		return
 	}
 	k.stop()
+	if k.c.former == k {
+		k.c.former = nil
+		return
+	}
 	if k.c.watch == k {
 		k.c.watch = nil
 	}
@@ -117,7 +175,8 @@
 			k.fail(errors.New("the list was overtaken by the watch")) // it must not go back in time
 		} else {
 			k.stop()
-			k.c.heard(l, micafront.FullList)
+			k.c.Generation = l.Generation
+			k.c.Heard(l, micafront.FullList)
 		}
 		return
 	}
@@ -146,7 +205,7 @@
 			break
 		}
 		text := bytes.TrimSpace(k.line[:i])
-		k.line = k.line[i+1:]
+		k.line, k.spoken = k.line[i+1:], true
 		k.c.Loop.Cancel(k.limit)
 		k.limit = k.c.Loop.After(silenceTime, func() { k.fail(errors.New("the watch fell silent")) })
 		if len(text) == 0 {
@@ -160,7 +219,7 @@
 		if l.Reset {
 			kind = micafront.FullList
 		}
-		k.c.heard(l, kind)
+		k.heard(l, kind)
 	}
 	if len(k.line) == 0 {
 		k.line = nil
@@ -168,7 +227,21 @@
 	return nil
 }
 
-func (c *Client) heard(l List, kind micafront.ListKind) {
+// heard passes on a watch's object.
+func (k *call) heard(l List, kind micafront.ListKind) {
+	c := k.c
+	if k == c.former {
+		c.Heard(l, kind)
+		return
+	}
 	c.Generation = l.Generation
+	if c.moved {
+		c.moved = false
+		c.forgetFormer()
+		if kind == micafront.Changes {
+			// Next hops that only the old discovery listed are not among another one's changes.
+			c.Fetch()
+		}
+	}
 	c.Heard(l, kind)
 }
