Walk the history of the proxy's own zone first, then the whole fleet's

At fault: Balancer.place, which knew the whole fleet's table alone. Changed: a second table of the same mechanism over the zone's servers; a key is offered three places there first. A zone short of capacity gives keys away (homeShare).

--- a/balancer.go
+++ b/balancer.go
@@ -33,6 +33,10 @@
 	weight     float64 // and their load
 	capacity   float64 // Size of the fleet, less what is cold or suspect, as of this epoch
 	table      table
+	home       table   // of the servers in this node's zone
+	homeSize   float64 // what capacity is, of those alone
+	homeShare  float64 // of the keys that walk the home table first
+	zoneCount  int
 	crowd      crowd
 	started    bool
 	listDirty  bool
@@ -296,7 +300,7 @@
 func (b *Balancer) place(r *request) *server {
 	var spare *server
 	for i := range maxCandidates {
-		s := b.table.lookup(remix(r.key, i))
+		s := b.candidate(r, i)
 		if s == nil {
 			return nil
 		}
--- a/fleet.go
+++ b/fleet.go
@@ -93,6 +93,7 @@
 		b.lastEpoch, b.lastChange = b.epoch(), b.epoch()
 		ready := b.ready()
 		b.table.snap(ready)
+		b.home.snap(b.near(ready))
 		b.survey(ready)
 		if b.set.Subscribe {
 			// All nodes may start at once; a registry of fixed size is asked in turn.
@@ -188,7 +189,11 @@
 		return false
 	}
 	one := b.weight / float64(b.held)
-	fair := b.weight * s.size * b.warmth(s) / max(b.capacity, 1e-9)
+	capacity := b.capacity
+	if b.atHome(s) {
+		capacity = b.homeSize
+	}
+	fair := b.weight * s.size * b.warmth(s) / max(capacity, 1e-9)
 	return s.weight >= fair+math.Sqrt(fair*one)+one
 }
 
@@ -253,12 +258,20 @@
 // survey sums once an epoch what the fleet can do now: a server that is cold or not answering has its share
 // of the load carried by the others, and must not make them look full.
 func (b *Balancer) survey(ready []*server) {
-	b.capacity = 0
+	b.capacity, b.homeSize = 0, 0
+	zones := map[string]bool{}
 	for _, s := range ready {
+		zones[s.zone] = true
 		if !b.shuns(s) {
 			b.capacity += s.size * b.warmth(s)
+			if b.atHome(s) {
+				b.homeSize += s.size * b.warmth(s)
+			}
 		}
 	}
+	b.zoneCount = max(len(zones), 1)
+	// Zones are asked about alike. One with less than its part of the capacity gives keys away before it jams.
+	b.homeShare = 1.25 * float64(b.zoneCount) * b.homeSize / max(b.capacity, 1e-9)
 }
 
 // coldBudget bounds what this node sends a cold server, whatever the admitted fraction lets through: crowds
@@ -272,18 +285,26 @@
 		return true
 	}
 	r := b.set.Rules
-	rate := b.usualRate() * s.size * w * r.OverloadFactor / 2
+	rate := b.usualRate(s) * s.size * w * r.OverloadFactor / 2
 	burst := max(rate*r.Fall.Seconds(), 1)
 	s.tokens = min(s.tokens+rate*(b.now-s.tokensAt).Seconds(), burst)
 	s.tokensAt = b.now
 	return s.tokens >= 1
 }
 
-// usualRate is this node's sends a second per unit of Size, over a time as long as a warm-up.
-func (b *Balancer) usualRate() float64 {
+// usualRate is this node's sends a second per unit of Size of the servers that share them with s, over a time as
+// long as a warm-up.
+func (b *Balancer) usualRate(s *server) float64 {
+	size := b.table.unit * float64(len(b.table.owner))
+	if b.atHome(s) {
+		// A zone that has lost servers never had all these sends on those that are left.
+		size = max(b.home.unit*float64(len(b.home.owner)), size/float64(b.zoneCount))
+	} else if len(b.home.owner) > 0 {
+		size *= float64(b.zoneCount) // it is the other zones' to warm up; only what they shed comes to it
+	}
 	span := min(b.now-b.rateSince, b.set.Rules.Cold)
 	span = max(span, b.set.Rules.Fall)
-	return b.sendsDecayed() / span.Seconds() / max(b.table.unit*float64(len(b.table.owner)), 1e-9)
+	return b.sendsDecayed() / span.Seconds() / max(size, 1e-9)
 }
 
 func (b *Balancer) sendsDecayed() float64 {
--- a/plastic.go
+++ b/plastic.go
@@ -116,6 +116,29 @@
 	}
 }
 
+// follow brings the table up to a list, and tells whether that added to its history.
+func (t *table) follow(ready []*server) bool {
+	was, joined := map[*server]bool{}, []*server(nil)
+	for _, s := range t.owner {
+		was[s] = true
+	}
+	for _, s := range ready {
+		if !was[s] {
+			joined = append(joined, s)
+		}
+		delete(was, s)
+	}
+	if len(t.owner) == 0 {
+		t.snap(ready)
+		return false
+	}
+	if len(joined)+len(was) == 0 {
+		return false
+	}
+	t.advance(joined, was)
+	return true
+}
+
 // advance ends an epoch: joiners are appended, then vacated ordinals, lowest first, take the slots of highest
 // ordinal, and the new count joins the history.
 func (t *table) advance(joined []*server, left map[*server]bool) {
@@ -155,6 +178,24 @@
 	return append(counts, n)
 }
 
+// homeTries is how many places in the node's own zone a key is offered before the whole fleet's.
+const homeTries = 3
+
+// candidate is the i-th place on a key's chain. Crossing zones costs at every message, so a key walks the history
+// of its node's zone first, which all nodes of that zone share, and after that the whole fleet's.
+func (b *Balancer) candidate(r *request, i int) *server {
+	if len(b.home.owner) == 0 || chance(r.client, 2) >= b.homeShare {
+		return b.table.lookup(remix(r.key, i))
+	}
+	if i < homeTries {
+		return b.home.lookup(remix(r.key, i))
+	}
+	return b.table.lookup(remix(r.key, i-homeTries))
+}
+
+// atHome tells whether a server is one of the home table's.
+func (b *Balancer) atHome(s *server) bool { return len(b.home.owner) > 0 && s.zone == b.set.Zone }
+
 // crowd counts how often this node meets each group, to tell a group's share of all traffic.
 type crowd struct {
 	count   map[uint64]float64
@@ -199,7 +240,11 @@
 // parts as servers' worths of traffic it has, and each part walks with an id of its own. The client's part
 // follows the paper's walk too, so that it rarely changes while the number of parts grows.
 func (b *Balancer) part(group, client uint64) uint64 {
-	servers := max(float64(len(b.table.owner))/slotsPerServer, 1)
+	owners := len(b.home.owner)
+	if owners == 0 {
+		owners = len(b.table.owner)
+	}
+	servers := max(float64(owners)/slotsPerServer, 1)
 	worth := min(b.crowd.share(group, servers), 1) * servers
 	if worth < 2 {
 		return group
@@ -231,21 +276,9 @@
 	if b.listDirty {
 		b.listDirty = false
 		b.lastChange = e
-		was, joined := map[*server]bool{}, []*server(nil)
-		for _, s := range b.table.owner {
-			was[s] = true
-		}
-		for _, s := range ready {
-			if !was[s] {
-				joined = append(joined, s)
-			}
-			delete(was, s)
-		}
-		if len(b.table.owner) == 0 {
-			b.table.snap(ready)
-		} else if len(joined)+len(was) > 0 {
+		changed := b.table.follow(ready)
+		if b.home.follow(b.near(ready)) || changed {
 			b.snapped = false
-			b.table.advance(joined, was)
 		}
 	}
 	// A still period is as long as a server may stay cold: a snap in the middle of growth would steer keys
@@ -253,6 +286,7 @@
 	if !b.snapped && time.Duration(e-b.lastChange)*b.epochLength() >= b.set.Rules.Cold {
 		b.snapped = true
 		b.table.snap(ready)
+		b.home.snap(b.near(ready))
 		b.prune()
 	}
 	b.survey(ready)
@@ -270,6 +304,20 @@
 	return out
 }
 
+// near lists the servers of the node's own zone, or none where that is no choice.
+func (b *Balancer) near(ready []*server) []*server {
+	var out []*server
+	for _, s := range ready {
+		if s.zone == b.set.Zone {
+			out = append(out, s)
+		}
+	}
+	if len(out) == len(ready) || b.set.Zone == "" {
+		return nil
+	}
+	return out
+}
+
 // prune forgets servers that are gone and hold nothing of this node.
 func (b *Balancer) prune() {
 	for id, s := range b.servers {
--- a/plastic_test.go
+++ b/plastic_test.go
@@ -1,6 +1,10 @@
 package micafront
 
-import "testing"
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
 
 // The paper's table of worked examples.
 func TestWalkPaperTable(t *testing.T) {
@@ -234,3 +238,46 @@
 		t.Errorf("sums %v, %v; kept %v, %v", total, squares, c.total, c.squares)
 	}
 }
+
+// Crossing zones costs at every message: keys stay in their node's zone, at the same server from all its nodes, while
+// that has its part of the fleet's capacity. A key leaves where its zone has no place, and part of them leave where
+// the zone has lost most of its servers.
+func TestKeysStayInTheZone(t *testing.T) {
+	set := testSettings()
+	set.Zone = "z0"
+	members := fleetOf(12) // four servers in each of three zones
+	a, b := start(t, set, members, 1), start(t, set, members, 2)
+	place := func(b *Balancer, now Instant, from, n int) (home int, at []string) {
+		for i := range n {
+			s := sentTo(b.Handle(now, req(from+i, now)))
+			at = append(at, s)
+			if b.servers[s].zone == "z0" {
+				home++
+			}
+			b.Handle(now, ClientGone{ID: fmt.Sprintf("r%d", from+i)})
+			b.Handle(now, Outcome{ID: fmt.Sprintf("r%d", from+i), Server: s, Status: Cancelled, Final: true})
+		}
+		return home, at
+	}
+	home, at := place(a, 2*sec, 0, 200)
+	if home != 200 {
+		t.Errorf("%d of 200 keys in their node's zone", home)
+	}
+	if _, other := place(b, 2*sec, 0, 200); !slices.Equal(at, other) {
+		t.Error("two nodes of a zone place keys differently")
+	}
+	for i := range members {
+		if i%3 == 0 && i > 0 {
+			members[i].Phase = Gone // one of the zone's four is left, 0.11 of the fleet's capacity
+		}
+	}
+	a.Handle(3*sec, Members{Kind: FullList, Entries: members})
+	if home, _ = place(a, 6*sec, 200, 400); home < 120 || home > 280 {
+		t.Errorf("%d of 400 keys at the one server left in the zone", home)
+	}
+	members[0].Phase = Gone
+	a.Handle(7*sec, Members{Kind: FullList, Entries: members})
+	if home, at = place(a, 10*sec, 600, 50); home != 0 || slices.Contains(at, "") {
+		t.Errorf("keys without a place in their zone: %d there, all %q", home, at)
+	}
+}
