Answer bad clients at once, and bound a flood's turns and descriptors

At fault: classOf took an unknown class for the first one; nothing knew clients' ids; greetTime was 15 s; accept and Conn.later had no bound that held: what is posted runs before the poller looks at a socket again (gnet's Polling drains its urgent queue, so a read posted by a read starves all other connections). Changed: takeIn answers what no next hop could serve, as well as commands behind the first; strangers have a bound and the eldest goes; farewells drain a client that still sends for up to 5 s; reads and accepts go on by a timer. TestBadClients, TestAnswerReachesWhoIsSending, TestSilentCrowd and TestFloodLeavesTurnsToOthers fail without it.

--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -272,11 +273,18 @@
 	return v
 }
 
+var lastID atomic.Int64
+
+// opening is a first line with a fresh id.
+func opening(key string) string {
+	return fmt.Sprintf("OPEN id%d %s c=feed,d=60000\r\n", lastID.Add(1), key)
+}
+
 // connect opens a connection through the proxy and returns both ends.
 func (w *world) connect(conns chan *peer, key string) (client, server *peer) {
 	w.t.Helper()
 	client = w.dial()
-	client.say("OPEN id " + key + " c=feed,d=60000\r\n")
+	client.say(opening(key))
 	server = await(w.t, conns)
 	server.line()
 	server.say("UP r\r\n")
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"regexp"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -236,7 +238,7 @@
 
 // ask opens a connection and reads the answer, while a next hop may have to give it first.
 func (p *peer) ask(conns chan *peer) string {
-	p.say("OPEN id key c=feed,d=60000\r\n")
+	p.say(opening("key"))
 	got := make(chan string, 1)
 	go func() { got <- p.line() }()
 	select {
@@ -245,6 +247,7 @@
 		s.say("UP r\r\n")
 		return <-got
 	case l := <-got:
+		p.Close() // many may ask in vain
 		return l
 	}
 }
@@ -298,6 +301,102 @@
 	equal(t, "a connection from before", "M 1", s.line())
 }
 
+// Bad clients get one definite answer at once, and nothing of theirs reaches a next hop.
+func TestBadClients(t *testing.T) {
+	w, conns := one(t)
+	c, s := w.connect(conns, "a")
+	id := fmt.Sprintf("id%d", lastID.Load())
+	for counter, in := range map[string]string{
+		"unknown_class": "OPEN x1 key c=feed2,d=60000\r\n",
+		"same_id":       "OPEN " + id + " key c=feed,d=60000\r\n",
+		"overtalked":    strings.Repeat(opening("key"), 300),
+		"bad_lines":     "OPEN x2 ke", // half a command and its end
+	} {
+		bad := w.dial()
+		bad.say(in)
+		if counter == "bad_lines" {
+			bad.CloseWrite()
+		}
+		equal(t, counter, []string{"ERR SYNTAX", "EOF"}, []string{bad.line(), bad.line()})
+		w.counts(counter + "=1")
+	}
+	pings := w.dial()
+	pings.say(strings.Repeat("PING\r\n", 100))
+	for range 8 {
+		equal(t, "readiness", "PONG", pings.line())
+	}
+	equal(t, "too many", []string{"ERR SYNTAX", "EOF"}, []string{pings.line(), pings.line()})
+	// What comes before the answer is an error too: the attempt ends, the next hop hears nothing of the rest.
+	early := w.dial()
+	early.say(opening("b"))
+	at := await(t, conns)
+	at.line()
+	early.say("M 1\r\n")
+	equal(t, "early", []string{"ERR SYNTAX", "EOF"}, []string{early.line(), early.line()})
+	equal(t, "its attempt", "EOF", at.line())
+	w.counts("attempts=2")
+	c.say("M 1\r\n")
+	equal(t, "the other client", "M 1", s.line())
+}
+
+// A client that is still sending must hear why it is turned away: closed with its bytes unread, its connection would
+// be reset, and the answer lost. Others are served meanwhile.
+func TestAnswerReachesWhoIsSending(t *testing.T) {
+	w, conns := one(t)
+	huge := w.dial()
+	sent := make(chan error, 1)
+	go func() {
+		chunk := bytes.Repeat([]byte("k"), 1<<20)
+		for range 24 { // for longer than a connection that has fallen silent is kept
+			if _, err := huge.Write(chunk); err != nil {
+				sent <- err
+				return
+			}
+			time.Sleep(60 * time.Millisecond)
+		}
+		sent <- nil
+	}()
+	w.connect(conns, "a")
+	if err := await(t, sent); err != nil {
+		t.Errorf("cut off while sending: %v", err)
+	}
+	equal(t, "answer", []string{"ERR SYNTAX", "EOF"}, []string{huge.line(), huge.line()})
+}
+
+// Those who say nothing, half a line or only PING are ended in time, one that trickles too, and a crowd of them leaves
+// descriptors to requests.
+func TestSilentCrowd(t *testing.T) {
+	w, conns := one(t, func(w *world) { w.sockets = 96 })
+	trickle := w.dial()
+	go func() {
+		for trickle.t.Context().Err() == nil {
+			if _, err := io.WriteString(trickle, "O"); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	equal(t, "who trickles", "ERR SYNTAX", trickle.line())
+	var crowd []*peer
+	for i := range 300 {
+		p := w.dial()
+		if crowd = append(crowd, p); i%3 == 0 {
+			p.say("PING\r\n")
+		}
+		if i%50 == 0 {
+			w.connect(conns, fmt.Sprint(i))
+		}
+	}
+	for i, p := range crowd {
+		if i%3 == 0 {
+			p.line() // PONG, or the end
+		}
+		for l := p.line(); l != "EOF" && l != "RST"; l = p.line() {
+		}
+	}
+	w.counts("open=6")
+}
+
 // Running out of descriptors must not end the proxy: gnet's own acceptor would.
 func TestOutOfDescriptors(t *testing.T) {
 	w, conns := one(t, func(w *world) { w.sockets = 48 })
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -20,6 +20,7 @@
 	BytesToNextHops, BytesToClients                                                            Counter
 	BadLines, Overlong, NoFirstLine, NoRoom, AcceptErrors, DialErrors, SlowPeers               Counter
 	Lists, ListChanges, ListFailures, ListBroken, DelayNotes, LoadNotes, Reloads, ReloadErrors Counter
+	UnknownClass, SameID, Overtalked, Evicted                                                  Counter
 	OpenNow                                                                                    Counter
 }
 
@@ -39,7 +40,8 @@
 		{"moves", c.Moves}, {"moves_silent", c.MovesSilent}, {"moves_stop", c.MovesStop}, {"ended", c.Ended},
 		{"bytes_to_next_hops", c.BytesToNextHops}, {"bytes_to_clients", c.BytesToClients},
 		{"bad_lines", c.BadLines}, {"overlong", c.Overlong}, {"no_first_line", c.NoFirstLine},
-		{"no_room", c.NoRoom}, {"accept_errors", c.AcceptErrors}, {"dial_errors", c.DialErrors},
+		{"unknown_class", c.UnknownClass}, {"same_id", c.SameID}, {"overtalked", c.Overtalked},
+		{"evicted", c.Evicted}, {"no_room", c.NoRoom}, {"accept_errors", c.AcceptErrors}, {"dial_errors", c.DialErrors},
 		{"slow_peers", c.SlowPeers}, {"lists", c.Lists}, {"list_changes", c.ListChanges},
 		{"list_failures", c.ListFailures}, {"list_broken", c.ListBroken}, {"delay_notes", c.DelayNotes},
 		{"load_notes", c.LoadNotes}, {"reloads", c.Reloads}, {"reload_errors", c.ReloadErrors},
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -27,6 +27,7 @@
 	writable bool
 	readable bool // an edge was seen that has not been read to its end
 	paused   bool
+	waits    bool // to be read on in a later turn
 	hup      bool // an end or an error is to be read
 	ended    bool // the peer ended its sending
 	finish   bool // our sending ends once out is empty
@@ -104,6 +105,9 @@
 const readTurn = 4
 
 func (c *Conn) read() {
+	if c.waits {
+		return // its turn comes: what is ready now must not give it another one
+	}
 	for range readTurn {
 		if c.closed || c.paused || c.ended || !c.readable {
 			return
@@ -130,8 +134,16 @@
 	}
 }
 
+// later reads on in a turn after the sockets that are ready by then. A posted call would not do: the poller runs
+// its queue until that is empty, what is posted meanwhile included, so a flood would be read to its end first.
 func (c *Conn) later() {
-	_ = c.loop.Post(func() { c.read() })
+	if !c.waits {
+		c.waits = true
+		c.loop.After(0, func() {
+			c.waits = false
+			c.read()
+		})
+	}
 }
 
 // Pause stops reading; what the peer sends waits in the kernel.
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -87,7 +87,7 @@
 	if c := l.conns[fd]; c != nil {
 		c.ready(ev)
 	} else if ln := l.listeners[fd]; ln != nil {
-		ln.accept()
+		ln.turn()
 	} else if fd == l.timerFD {
 		l.runTimers()
 	}
@@ -98,10 +98,30 @@
 type Listener struct {
 	loop   *Loop
 	fd     int
-	accept func()
+	accept func() (more bool)
+	waits  bool // to accept in a later turn
 	addr   string
 }
 
+// acceptTurn bounds what one turn accepts: those who connected before are read in between.
+const acceptTurn = 16
+
+func (ln *Listener) turn() {
+	if !ln.waits && ln.accept() {
+		ln.later(0)
+	}
+}
+
+func (ln *Listener) later(d time.Duration) {
+	ln.waits = true
+	ln.loop.After(d, func() {
+		ln.waits = false
+		if ln.loop.listeners[ln.fd] == ln {
+			ln.turn()
+		}
+	})
+}
+
 // acceptPause is how long accepting rests when descriptors or kernel memory have run out. The connections wait
 // in the kernel's queue meanwhile.
 const acceptPause = 10 * time.Millisecond
@@ -117,31 +137,31 @@
 		bound = socket.SockaddrToTCPOrUnixAddr(sa)
 	}
 	ln := &Listener{loop: l, fd: fd, addr: bound.String()}
-	ln.accept = func() {
-		for {
+	ln.accept = func() bool {
+		for range acceptTurn {
 			nfd, _, err := socket.Accept(fd)
 			switch err {
 			case nil:
 			case unix.EAGAIN:
-				return
+				return false
 			case unix.EINTR, unix.ECONNABORTED, unix.ECONNRESET:
 				continue
 			default: // EMFILE, ENFILE, ENOBUFS, ENOMEM: the listener stays, and tries again shortly
 				failed(err)
-				l.After(acceptPause, func() {
-					if l.listeners[fd] == ln {
-						ln.accept()
-					}
-				})
-				return
+				ln.later(acceptPause)
+				return false
 			}
 			c := &Conn{loop: l, fd: nfd, writable: true}
-			if c.h = open(c); c.add() != nil {
+			if c.h = open(c); c.closed {
+				continue
+			}
+			if c.add() != nil {
 				// Its handler may still close it: by then the descriptor's number may be another's.
 				c.closed = true
 				_ = unix.Close(nfd)
 			}
 		}
+		return true
 	}
 	l.listeners[fd] = ln
 	if err := l.poller.AddRead(&netpoll.PollAttachment{FD: fd}, true); err != nil {
@@ -158,7 +178,8 @@
 	if ln.loop.listeners[ln.fd] != ln {
 		return
 	}
-	ln.accept()
+	for ln.accept() {
+	}
 	delete(ln.loop.listeners, ln.fd)
 	_ = ln.loop.poller.Delete(ln.fd)
 	_ = unix.Close(ln.fd)
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -55,6 +55,7 @@
 // Open holds the fields of a first line that decisions need. The line itself goes on as it came.
 type Open struct {
 	Raw     []byte // the whole line, CRLF included
+	ID      string // the client's
 	Key     string
 	Class   string
 	Group   string
@@ -96,7 +97,7 @@
 			return o, ErrSyntax
 		}
 	}
-	o.Key = string(key)
+	o.ID, o.Key = string(id), string(key)
 	at := len(text) - len(list)
 	for len(list) > 0 {
 		pair := list
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -24,8 +24,8 @@
 		p.refuse(f, min(noRoomAfter, p.set.Limits.MaxRetryAfter))
 		return
 	}
-	if !o.HasWait {
-		o.Wait = p.classOf(o.Class).GiveUp
+	if c, _ := p.classOf(o.Class); !o.HasWait {
+		o.Wait = c.GiveUp
 	}
 	f.deadline = p.loop.Now() + o.Wait
 	if o.MidFlow {
@@ -34,13 +34,13 @@
 	p.tell(p.request(f))
 }
 
-func (p *Proxy) classOf(name string) micafront.Class {
+func (p *Proxy) classOf(name string) (c micafront.Class, known bool) {
 	for _, c := range p.set.Classes {
 		if c.Name == name {
-			return c
+			return c, true
 		}
 	}
-	return p.set.Classes[0]
+	return c, false
 }
 
 func (p *Proxy) request(f *flow) micafront.Request {
@@ -71,13 +71,23 @@
 	f.p.forget(f)
 }
 
-// gone books a client that left before its answer.
+// gone books a client that left before its answer. If it only ended its sending it still hears how this ended:
+// that a repeat is harmless where nothing has gone out, else no promise.
 func (f *flow) gone() {
 	if f.answered {
 		return
 	}
 	f.p.count.ClientGone++
-	f.answer(f.p.protocol.Defer(0))
+	if f.attempts == 0 {
+		f.answer(f.p.protocol.Defer(0))
+	} else {
+		f.answer(f.p.protocol.Fail())
+	}
+	f.giveUp()
+}
+
+// giveUp calls off what is under way for a client that has been answered without the module.
+func (f *flow) giveUp() {
 	if f.deadline == 0 { // standing connections are not the module's yet
 		f.callOff()
 		return
--- a/internal/proxy/book.go
+++ b/internal/proxy/book.go
@@ -33,5 +33,8 @@
 func (p *Proxy) forget(f *flow) {
 	if f.answered && f.attempt == nil && f.client == nil {
 		delete(p.flows, f.id)
+		if p.ids[f.clientID] == f {
+			delete(p.ids, f.clientID)
+		}
 	}
 }
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -25,7 +25,7 @@
 
 // Opening is a client's request: the fields that decisions need, and its bytes.
 type Opening struct {
-	Class, Key, Group      string
+	ID, Class, Key, Group  string
 	Standing               string // the next hop where the connection was open before
 	Wait                   time.Duration
 	HasWait                bool
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"io"
@@ -33,7 +34,9 @@
 	news    []micafront.Event // for the module
 	turning bool
 
+	strangers
 	flows   map[string]*flow // by the id that the module knows
+	ids     map[string]*flow // by the id that the client gave
 	lastID  uint64
 	hops    map[string]*hop // the transport map
 	zones   map[string]time.Duration
@@ -59,6 +62,9 @@
 	id       string
 	opening  *Opening // until the connection stands
 	class    string
+	clientID string
+	stranger *list.Element // in strangers.waiting, until its first message is understood
+	pings    int
 	client   *evloop.Conn // nil once the sender side is done with
 	in       []byte       // of the client: not yet understood, or early
 	deadline time.Duration
@@ -84,7 +90,7 @@
 		return nil, fmt.Errorf("event loop: %w", err)
 	}
 	p := &Proxy{loop: loop, protocol: Text{}, module: module, set: c.Settings, sockets: c.Sockets, log: log, delays: c.LoadIsDelay,
-		flows: map[string]*flow{}, hops: map[string]*hop{}, zones: map[string]time.Duration{}}
+		flows: map[string]*flow{}, ids: map[string]*flow{}, hops: map[string]*hop{}, zones: map[string]time.Duration{}}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation,
 		Heard: p.hearList, Failed: p.listFailed}
 	if p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed); err != nil {
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"container/list"
 	"strconv"
 	"time"
 
@@ -9,9 +10,53 @@
 
 // Take in: a client's connection, up to its first message understood.
 
-// greetTime is how long a client may take to say what it wants. A readiness check may come again on the same
-// connection after it, so this also ends idle ones.
-const greetTime = 15 * time.Second
+// greetTime is how long after connecting a client may take to say what it wants, however many bytes trickle in
+// meanwhile; a bad client is owed an end within 3 s. A readiness check is answered at once and needs no longer.
+const greetTime = 2500 * time.Millisecond
+
+// maxPings is how many readiness checks one connection may ask.
+const maxPings = 8
+
+// strangers are connections that have no request here: those that have yet to say what they want, and those that
+// have had their last message. Both kinds come in floods, and must leave descriptors to requests, whose clients may
+// take a third and their next hops another: beyond a sixth the eldest of them goes.
+type strangers struct {
+	waiting, leaving list.List // of *flow, of *farewell
+}
+
+func (p *Proxy) maxStrangers() int {
+	if p.sockets == 0 {
+		return 4096
+	}
+	return max(p.sockets/6, 8)
+}
+
+func (p *Proxy) makeRoom() {
+	for p.strangers.waiting.Len()+p.strangers.leaving.Len() > p.maxStrangers() {
+		p.count.Evicted++
+		if e := p.strangers.waiting.Front(); e != nil {
+			f := e.Value.(*flow)
+			c := f.client
+			f.p.count.NoRoom++
+			f.noStranger()
+			f.client = nil
+			c.Write(p.protocol.Defer(min(noRoomAfter, p.set.Limits.MaxRetryAfter)))
+			c.Close()
+			continue
+		}
+		p.strangers.leaving.Front().Value.(*farewell).end()
+	}
+}
+
+// noStranger takes a flow off the strangers: it asked for something, or its client is on the way out.
+func (f *flow) noStranger() {
+	f.p.loop.Cancel(f.limit)
+	f.limit = nil
+	if f.stranger != nil {
+		f.p.strangers.waiting.Remove(f.stranger)
+		f.stranger = nil
+	}
+}
 
 // senderSide hears a client's connection.
 type senderSide struct{ *flow }
@@ -19,11 +64,18 @@
 func (p *Proxy) accept(c *evloop.Conn) evloop.Handler {
 	p.count.Accepted++
 	f := &flow{p: p, client: c, place: -1}
+	f.stranger = p.strangers.waiting.PushBack(f)
 	f.limit = p.loop.After(greetTime, func() {
 		p.count.NoFirstLine++
+		if len(f.in) > 0 {
+			f.malformed()
+			return
+		}
+		f.noStranger()
 		f.client = nil
 		c.Close()
 	})
+	p.makeRoom()
 	return senderSide{f}
 }
 
@@ -42,7 +94,13 @@
 		f.toNextHop(b)
 		return
 	}
-	// Early: kept until the connection stands, within bounds.
+	if !f.opening.MidFlow && f.opening.Standing == "" {
+		// A client waits after its first line. One that sends more at once, such as several commands, gets one
+		// definite answer for all of them.
+		f.overtalked()
+		return
+	}
+	// Early, of a connection that was open elsewhere: kept until it stands here, within bounds.
 	if f.in = append(f.in, b...); len(f.in) >= f.p.protocol.MaxMessage() {
 		f.client.Pause()
 	}
@@ -58,8 +116,7 @@
 			} else {
 				p.count.BadLines++
 			}
-			f.in = nil
-			f.endClient(p.protocol.Malformed())
+			f.malformed()
 			return
 		}
 		if n == 0 {
@@ -69,37 +126,72 @@
 			f.in = nil
 		}
 		if o != nil {
-			p.loop.Cancel(f.limit)
-			f.limit = nil
 			p.takeIn(f, o)
 			return
 		}
-		p.count.Pings++
+		if p.count.Pings++; f.pings == maxPings {
+			p.count.Overtalked++
+			f.malformed()
+			return
+		}
+		f.pings++
 		f.client.Write(reply)
 	}
 }
 
-// takeIn books a request under an id of the proxy's own: ids that clients make up may repeat.
+// malformed ends a client that is not understood.
+func (f *flow) malformed() {
+	f.in = nil
+	f.endClient(f.p.protocol.Malformed())
+}
+
+// overtalked ends a request whose client did not wait for its answer.
+func (f *flow) overtalked() {
+	f.p.count.Overtalked++
+	f.answer(f.p.protocol.Malformed())
+	f.giveUp()
+}
+
+// takeIn books a request under an id of the proxy's own: ids that clients make up may repeat. What no next hop
+// could serve is answered here: sent on, it would be turned away by one next hop after the other, as if they
+// failed.
 func (p *Proxy) takeIn(f *flow, o *Opening) {
-	p.count.TakenIn++
-	p.lastTakenIn = p.loop.Now()
-	p.lastID++
-	f.id = strconv.FormatUint(p.lastID, 36)
-	f.opening, f.class = o, o.Class
-	p.flows[f.id] = f
-	if o.Standing != "" {
-		p.count.Standing++
-		p.resume(f)
+	f.noStranger()
+	elsewhere := o.MidFlow || o.Standing != "" // such a connection comes with the id that it has
+	_, known := p.classOf(o.Class)
+	switch other := p.ids[o.ID]; {
+	case !known:
+		p.count.UnknownClass++
+	case other != nil && !elsewhere:
+		p.count.SameID++
+	case len(f.in) > 0 && !elsewhere:
+		p.count.Overtalked++
+	default:
+		p.count.TakenIn++
+		p.lastTakenIn = p.loop.Now()
+		p.lastID++
+		f.id = strconv.FormatUint(p.lastID, 36)
+		f.opening, f.class, f.clientID = o, o.Class, o.ID
+		p.flows[f.id], p.ids[o.ID] = f, f
+		if o.Standing != "" {
+			p.count.Standing++
+			p.resume(f)
+			return
+		}
+		p.admit(f)
 		return
 	}
-	p.admit(f)
+	f.malformed()
 }
 
 func (s senderSide) Ended() {
 	f := s.flow
 	switch {
+	case f.id == "" && len(f.in) > 0: // half a message
+		p := f.p
+		p.count.BadLines++
+		f.malformed()
 	case f.id == "": // nothing was asked
-		f.in = nil
 		f.endClient(nil)
 	case f.place >= 0:
 		f.clientEnded()
@@ -119,7 +211,7 @@
 
 func (s senderSide) Closed(error) {
 	f := s.flow
-	f.p.loop.Cancel(f.limit)
+	f.noStranger()
 	f.client = nil
 	switch {
 	case f.id == "":
@@ -134,8 +226,7 @@
 // its end for a while: closing over unread bytes would reset it and could take the message along.
 func (f *flow) endClient(last []byte) {
 	p, c := f.p, f.client
-	p.loop.Cancel(f.limit)
-	f.limit = nil
+	f.noStranger()
 	if c == nil {
 		return
 	}
@@ -145,31 +236,58 @@
 		c.Close()
 		return
 	}
-	l := &farewell{conn: c}
-	l.limit = p.loop.After(farewellTime, c.Close)
-	l.loop = p.loop
+	l := &farewell{p: p, conn: c, since: p.loop.Now()}
+	l.place = p.strangers.leaving.PushBack(l)
+	l.limit = p.loop.After(farewellTime, l.look)
 	c.SetHandler(l)
 	c.Resume()
 	c.CloseWrite()
+	p.makeRoom()
 }
 
-const farewellTime = time.Second
+const (
+	farewellTime = time.Second     // without a byte from the client
+	drainTime    = 5 * time.Second // for one that goes on sending; it has had its answer
+)
 
-// farewell hears a connection that has had its last message.
+// farewell hears a connection that has had its last message. Tens of megabytes may be on their way still.
 type farewell struct {
+	p     *Proxy
 	conn  *evloop.Conn
-	loop  *evloop.Loop
 	limit *evloop.Timer
+	place *list.Element
+	since time.Duration
+	came  bool // bytes, since the last look
 }
 
 func (l *farewell) Opened()     {}
-func (l *farewell) Data([]byte) {}
+func (l *farewell) Data([]byte) { l.came = true }
 func (l *farewell) Drained()    { l.check() }
 func (l *farewell) Ended()      { l.check() }
 func (l *farewell) check() {
 	if l.conn.IsEnded() && l.conn.Pending() == 0 {
-		l.loop.Cancel(l.limit)
-		l.conn.Close()
+		l.end()
+	}
+}
+
+func (l *farewell) look() {
+	if !l.came || l.p.loop.Now()-l.since >= drainTime {
+		l.end()
+		return
+	}
+	l.came = false
+	l.limit = l.p.loop.After(farewellTime, l.look)
+}
+
+func (l *farewell) end() {
+	l.Closed(nil)
+	l.conn.Close()
+}
+
+func (l *farewell) Closed(error) {
+	l.p.loop.Cancel(l.limit)
+	if l.place != nil {
+		l.p.strangers.leaving.Remove(l.place)
+		l.place = nil
 	}
 }
-func (l *farewell) Closed(error) { l.loop.Cancel(l.limit) }
--- a/internal/proxy/text.go
+++ b/internal/proxy/text.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	return len(l), &Opening{Class: o.Class, Key: o.Key, Group: o.Group, Standing: o.At, Wait: o.Wait,
+	return len(l), &Opening{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Standing: o.At, Wait: o.Wait,
 		HasWait: o.HasWait, Hint: o.Hint, Repeat: o.Repeat, Again: o.Again, MidFlow: o.MidFlow,
 		Forward: func(wait time.Duration) []byte { return o.AppendFirst(nil, wait) }}, nil, nil
 }
