Hold passing connections at a stop, and look for passing packets where they stand

A trace shows both proxies sending MOVE to all 73 and 166 clients on SIGTERM; those of one zone then came by the other zone's proxy, which put nearly all of them on two next hops, one of them cold. Of what came marked mid=1 there, nothing went to its holder: the guess was the own zone's table, and next hops reset those that they do not hold. At fault: Proxy.stopTurn, which moved everybody though packets pass through here; Balancer.place for MidFlow. Kept in mind: a stop now also fits deadlines under 2.3 s, after which the kill comes earlier than was assumed. TestStopWherePacketsPass and TestHolderOfPassingPackets fail without it.

--- a/balancer.go
+++ b/balancer.go
@@ -33,12 +33,15 @@
 	weight     float64 // and their load
 	capacity   float64 // Size of the fleet, less what is cold or suspect, as of this epoch
 	table      table
-	home       table   // of the servers in this node's zone
-	homeSize   float64 // what capacity is, of those alone
-	homeShare  float64 // of the keys that walk the home table first
+	zoned      map[string]*table     // of each zone's servers, where there are several zones
+	home       *table                // the one of this node's zone
+	seen       [2]map[uint64]*server // where clients' connections stood, the newer ones first
+	homeSize   float64               // what capacity is, of those alone
+	homeShare  float64               // of the keys that walk the home table first
 	zoneCount  int
 	crowd      crowd
 	started    bool
+	startedAt  Instant
 	listDirty  bool
 	snapped    bool
 	lastEpoch  int64
@@ -89,6 +92,8 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), gate: 1,
 		classes: map[string]*Class{}, usual: map[*Class]float64{}, crowd: crowd{count: map[uint64]float64{}},
 		requests: map[string]*request{}, timers: map[string]*request{},
+		zoned: map[string]*table{}, home: &table{},
+		seen:    [2]map[uint64]*server{{}, {}},
 		servers: map[string]*server{}, zones: map[string]*suspicion{},
 		tenants: map[string]int{}, shares: map[string]*Tenant{}}
 	for i := range set.Tenants {
@@ -120,6 +125,7 @@
 	case First:
 		if r := b.requests[e.ID]; r != nil && r.at != nil && e.Attempt == r.attempts-1 {
 			r.open = true
+			b.remember(r)
 			b.settle(r)
 			b.succeeded(r.at)
 			b.leave(r.at) // it may drain since the attempt went out
@@ -222,6 +228,7 @@
 	r := b.newRequest(e.Request)
 	r.attempts, r.open, r.answered = 1, true, true
 	b.hold(r, s)
+	b.remember(r)
 	b.leave(s)
 }
 
@@ -298,6 +305,11 @@
 }
 
 func (b *Balancer) place(r *request) *server {
+	if r.MidFlow && r.attempts == 0 {
+		if s := b.holder(r); s != nil && s.phase == Ready && !b.shuns(s) {
+			return s // its packets belong to the holder, whatever new keys are told
+		}
+	}
 	var spare *server
 	for i := range maxCandidates {
 		s := b.candidate(r, i)
@@ -307,9 +319,6 @@
 		if slices.Contains(r.tried, s) || !b.mayRepeat(r, s) {
 			continue
 		}
-		if r.MidFlow && r.attempts == 0 && s.phase == Ready && !b.shuns(s) {
-			return s // its packets belong to the holder, whatever new keys are told
-		}
 		if !b.admits(r, s) {
 			continue
 		}
@@ -344,6 +353,9 @@
 		return
 	}
 	s, wasOpen := r.at, r.open
+	if wasOpen && (r.moved || e.Status != Cancelled) {
+		b.forget(r) // a cancel alone may mean that its packets go by another node now
+	}
 	b.release(r)
 	if !e.Status.NeverRan() && r.ranOn == nil {
 		r.ranOn, r.ranAt = s, r.sentAt
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -267,6 +267,36 @@
 	w.until("moves_stop=2")
 }
 
+// Where packets pass through, a stop leaves alone those whom another proxy will look for where they are; the others,
+// such as one that its first next hop turned away, are moved.
+func TestStopWherePacketsPass(t *testing.T) {
+	conns := make(chan *peer, 64)
+	near, far := newHop(t, "s-1", conns), newHop(t, "s-2", conns)
+	w := start(t, list(1, true, entry(near.id, near.addr, "in_service"),
+		strings.Replace(entry(far.id, far.addr, "in_service"), `"zone":"a"`, `"zone":"b"`, 1)),
+		func(w *world) { w.extra = `"FamilyInfo":{"Mode":"pass"},` })
+	c, s := w.connect(conns, "key")
+	equal(t, "in the proxy's zone", near.addr, s.LocalAddr().String())
+	astray := w.dial()
+	astray.say(opening("key2"))
+	first := await(t, conns)
+	first.line()
+	first.say("ERR\r\n")
+	at := await(t, conns)
+	at.line()
+	at.say("UP r\r\n")
+	equal(t, "answer", "UP r", astray.line())
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	equal(t, "moved", []string{"MOVE", "EOF"}, []string{astray.line(), astray.line()})
+	c.say("M 1\r\n")
+	equal(t, "still relayed", "M 1", s.line())
+	c.Close()
+	if err := await(t, w.exited); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	w.until("moves_stop=1")
+}
+
 // SIGHUP ended the program. It reads the configuration again: a bad one changes nothing; a new discovery is asked
 // for everything, its generations may be lower, and the old one's end is no failure.
 func TestReload(t *testing.T) {
--- a/fleet.go
+++ b/fleet.go
@@ -88,12 +88,12 @@
 		}
 	}
 	if !b.started {
-		b.started = true
+		b.started, b.startedAt = true, b.now
 		b.listDirty, b.snapped = false, true
 		b.lastEpoch, b.lastChange = b.epoch(), b.epoch()
 		ready := b.ready()
 		b.table.snap(ready)
-		b.home.snap(b.near(ready))
+		b.eachZone(ready, (*table).snap)
 		b.survey(ready)
 		if b.set.Subscribe {
 			// All nodes may start at once; a registry of fixed size is asked in turn.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"example.org/micafront"
@@ -137,7 +138,8 @@
 const (
 	stopArrivals = 700 * time.Millisecond  // arrivals go on for up to 0.4 s after the signal
 	stopQuiet    = 300 * time.Millisecond  // and none must have come for this long
-	stopLast     = 3300 * time.Millisecond // the kill comes 3.7 s after the signal, or later
+	stopMoved    = 2300 * time.Millisecond // clients are moved until then, or until the longest deadline
+	stopLast     = 3300 * time.Millisecond
 	stopStep     = 50 * time.Millisecond
 )
 
@@ -158,11 +160,28 @@
 	now := p.loop.Now()
 	past := now - since
 	if past >= stopArrivals/2 {
-		// All are gone a second before the end, so that those placed late can follow.
-		steps := max((stopLast-time.Second-past)/stopStep, 1)
-		for n := (len(p.open) + int(steps) - 1) / int(steps); n > 0 && len(p.open) > 0; n-- {
+		leaving := p.open
+		if p.set.PassThrough {
+			// Once this proxy is gone the front sends the packets of open connections by another one, and
+			// they go on unbroken where that one looks for them at the right next hop: a move would only
+			// cost them the way back. The others would be reset. All else is held to the end.
+			leaving = nil
+			for _, f := range p.open {
+				if p.module.Astray(f.id) {
+					leaving = append(leaving, f)
+				}
+			}
+		}
+		// The kill comes 0.7 s after the longest deadline, or after 3.7 s. All are gone well before, so that
+		// those placed late can follow.
+		until := time.Duration(0)
+		for _, c := range p.set.Classes {
+			until = max(until, min(c.GiveUp, stopMoved))
+		}
+		steps := max(int((until-past)/stopStep), 1)
+		for _, f := range slices.Clone(leaving[:(len(leaving)+steps-1)/steps]) {
 			p.count.MovesStop++
-			p.move(p.open[0], micafront.Cancelled)
+			p.move(f, micafront.Cancelled)
 		}
 	}
 	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
--- a/plastic.go
+++ b/plastic.go
@@ -193,6 +193,58 @@
 	return b.table.lookup(remix(r.key, i-homeTries))
 }
 
+// holder guesses which server holds a connection whose packets now come by this node: the one where it stood when
+// they came by it before, else the one where the node that they came by will have placed it.
+func (b *Balancer) holder(r *request) *server {
+	for _, m := range b.seen {
+		if s := m[r.client]; s != nil {
+			return s
+		}
+	}
+	if len(b.home.owner) == 0 {
+		return b.table.lookup(r.key)
+	}
+	// A front keeps to the nodes of its zone while it has any. Just after this node's start it is given back what
+	// is its own; later on, where no other node is in its zone, what comes is another zone's.
+	if b.set.Nodes <= b.zoneCount && b.now-b.startedAt > b.set.Rules.Fall*3/2 && len(b.zoned) == 2 {
+		for zone, t := range b.zoned {
+			if zone != b.set.Zone && len(t.owner) > 0 {
+				return t.lookup(r.key)
+			}
+		}
+	}
+	return b.home.lookup(r.key)
+}
+
+// Astray tells whether other nodes would look for an open connection's packets at another server than its own.
+func (b *Balancer) Astray(id string) bool {
+	t := b.home
+	if len(t.owner) == 0 {
+		t = &b.table
+	}
+	r := b.requests[id]
+	return r == nil || r.at != t.lookup(r.key)
+}
+
+// maxSeen bounds each of the two generations of remembered places.
+const maxSeen = 4096
+
+// remember notes where a client's connection stands, forget that it no longer stands there.
+func (b *Balancer) remember(r *request) {
+	if !b.set.PassThrough {
+		return
+	}
+	if len(b.seen[0]) >= maxSeen {
+		b.seen[0], b.seen[1] = map[uint64]*server{}, b.seen[0]
+	}
+	b.seen[0][r.client] = r.at
+}
+
+func (b *Balancer) forget(r *request) {
+	delete(b.seen[0], r.client)
+	delete(b.seen[1], r.client)
+}
+
 // atHome tells whether a server is one of the home table's.
 func (b *Balancer) atHome(s *server) bool { return len(b.home.owner) > 0 && s.zone == b.set.Zone }
 
@@ -277,7 +329,8 @@
 		b.listDirty = false
 		b.lastChange = e
 		changed := b.table.follow(ready)
-		if b.home.follow(b.near(ready)) || changed {
+		b.eachZone(ready, func(t *table, near []*server) { changed = t.follow(near) || changed })
+		if changed {
 			b.snapped = false
 		}
 	}
@@ -286,7 +339,7 @@
 	if !b.snapped && time.Duration(e-b.lastChange)*b.epochLength() >= b.set.Rules.Cold {
 		b.snapped = true
 		b.table.snap(ready)
-		b.home.snap(b.near(ready))
+		b.eachZone(ready, (*table).snap)
 		b.prune()
 	}
 	b.survey(ready)
@@ -304,18 +357,28 @@
 	return out
 }
 
-// near lists the servers of the node's own zone, or none where that is no choice.
-func (b *Balancer) near(ready []*server) []*server {
-	var out []*server
+// eachZone hands each zone's table its ready servers; there are none where the zone is no choice.
+func (b *Balancer) eachZone(ready []*server, f func(*table, []*server)) {
+	if b.set.Zone == "" {
+		return
+	}
+	near := map[string][]*server{}
 	for _, s := range ready {
-		if s.zone == b.set.Zone {
-			out = append(out, s)
+		near[s.zone] = append(near[s.zone], s)
+		if b.zoned[s.zone] == nil {
+			b.zoned[s.zone] = &table{}
 		}
 	}
-	if len(out) == len(ready) || b.set.Zone == "" {
-		return nil
+	if t := b.zoned[b.set.Zone]; t != nil {
+		b.home = t
+	}
+	for zone, t := range b.zoned {
+		if len(near[zone]) == len(ready) {
+			f(t, nil)
+		} else {
+			f(t, near[zone])
+		}
 	}
-	return out
 }
 
 // prune forgets servers that are gone and hold nothing of this node.
--- a/plastic_test.go
+++ b/plastic_test.go
@@ -281,3 +281,52 @@
 		t.Errorf("keys without a place in their zone: %d there, all %q", home, at)
 	}
 }
+
+// A connection whose packets come by a node in the middle goes on only at the server that holds it: where this node
+// had it before; where its own zone's table has the key while a front gives a fresh node its part back; and where the
+// other zone's table has it once only another zone's nodes can have left.
+func TestHolderOfPassingPackets(t *testing.T) {
+	set := testSettings()
+	set.Zone, set.Nodes, set.PassThrough = "z0", 2, true
+	var members []Member
+	for i := range 12 {
+		members = append(members, Member{Server: serverID(i), Size: 1, Zone: fmt.Sprintf("z%d", i%2)})
+	}
+	other := set
+	other.Zone = "z1"
+	id := 0
+	place := func(n *Balancer, now Instant, key string, mid bool) (server, rid string) {
+		id++
+		r := req(id, now)
+		r.Key, r.MidFlow = key, mid
+		return establish(n, now, r), r.ID
+	}
+	for i := range 40 {
+		key := fmt.Sprint("k", i)
+		a, b, now := start(t, set, members, 1), start(t, other, members, 2), 10*sec
+		at, rid := place(a, now, key, false)
+		if got, _ := place(b, now, key, true); got != at {
+			t.Errorf("%s stands at %s, and was looked for at %s in the other zone", key, at, got)
+		}
+		if a.Astray(rid) {
+			t.Errorf("%s is not where others look for it", key)
+		}
+		fresh := start(t, set, members, 3)
+		if got, _ := place(fresh, sec+100*ms, key, true); got != at {
+			t.Errorf("%s stands at %s, and was looked for at %s by a fresh node", key, at, got)
+		}
+		// Turned away by its first server it stands astray, and only memory finds it.
+		r := req(1000+i, now)
+		r.Key = key + "x"
+		first := sentTo(a.Handle(now, r))
+		second := sentTo(a.Handle(now, Outcome{ID: r.ID, Server: first, Status: AppError}))
+		a.Handle(now, First{ID: r.ID, Server: second, Attempt: 1})
+		if !a.Astray(r.ID) {
+			t.Errorf("%s at its second server is where others look for it", r.Key)
+		}
+		a.Handle(now, Outcome{ID: r.ID, Server: second, Attempt: 1, Status: Cancelled, Final: true})
+		if got, _ := place(a, now, r.Key, true); got != second {
+			t.Errorf("%s stood at %s here, and was looked for at %s", r.Key, second, got)
+		}
+	}
+}
