--- a/balancer.go
+++ b/balancer.go
@@ -38,6 +38,7 @@
 	seen       [2]map[uint64]*server // where clients' connections stood, the newer ones first
 	homeSize   float64               // what capacity is, of those alone
 	homeShare  float64               // of the keys that walk the home table first
+	usualPart  float64               // of the capacity in this zone when last still, times zones
 	zoneCount  int
 	crowd      crowd
 	started    bool
@@ -288,8 +289,7 @@
 	return true
 }
 
-// maxCandidates bounds the chain: with half of all servers shut the chance that none of 12 admits is below
-// 0.03%.
+// maxCandidates bounds the chain: with half of all servers shut, none of 12 admits in under 0.03% of cases.
 const maxCandidates = 12
 
 // try sends the next attempt, or answers where there is no place for it.
--- a/fleet.go
+++ b/fleet.go
@@ -108,9 +108,8 @@
 
 const leaveToken = "leave:"
 
-// leave begins to send away what stands at a draining server: what is still there when it stops is cut off.
-// It begins with the next epoch, from which on the table has other places for its keys; sent away earlier, a
-// group would be strewn over stand-ins.
+// leave begins to send away what stands at a draining server, before it stops and cuts that off: with the
+// next epoch, when the table has other places for its keys; earlier, a group would be strewn over stand-ins.
 func (b *Balancer) leave(s *server) {
 	if s.phase != Draining || s.leaving > 0 || len(s.held) == 0 {
 		return
@@ -270,8 +269,16 @@
 		}
 	}
 	b.zoneCount = max(len(zones), 1)
-	// Zones are asked about alike. One with less than its part of the capacity gives keys away before it jams.
-	b.homeShare = 1.25 * float64(b.zoneCount) * b.homeSize / max(b.capacity, 1e-9)
+	// Zones are asked about alike, and one with less than its part of the capacity gives keys away: early
+	// where it has just lost some, with what stands there already; else when more would jam it.
+	part, slack := float64(b.zoneCount)*b.homeSize/max(b.capacity, 1e-9), 1.25
+	if b.usualPart == 0 {
+		b.usualPart = part
+	}
+	if part >= 0.75*b.usualPart {
+		slack = 2
+	}
+	b.homeShare = slack * part
 }
 
 // coldBudget bounds what this node sends a cold server, whatever the admitted fraction lets through: crowds
@@ -292,8 +299,7 @@
 	return s.tokens >= 1
 }
 
-// usualRate is this node's sends a second per unit of Size of the servers that share them with s, over a time as
-// long as a warm-up.
+// usualRate is this node's sends a second per unit of Size, over a time as long as a warm-up.
 func (b *Balancer) usualRate(s *server) float64 {
 	size := b.table.unit * float64(len(b.table.owner))
 	if b.atHome(s) {
--- a/plastic.go
+++ b/plastic.go
@@ -55,8 +55,7 @@
 	return int(at)
 }
 
-// slotsPerServer is how many slots a server of mean Size owns. Shares are then right to about 3%, well under
-// the unevenness that connections of unlike load bring anyway, and a table of a thousand servers stays small.
+// slotsPerServer is how many slots a server of mean Size owns. Shares are then right to about 3%.
 const slotsPerServer = 16
 
 // table is the history of slot counts and the slots' owners.
@@ -79,8 +78,7 @@
 }
 
 // spread orders the slots of several servers so that each server's are strewn over the whole range: what a
-// leaver vacates is then taken over by slots of many servers, not by one server that would carry twice its
-// share.
+// leaver vacates is then taken over by many servers, not by one that would carry twice its share.
 func (t *table) spread(servers []*server) []*server {
 	type slot struct {
 		at float64
@@ -167,10 +165,8 @@
 }
 
 // compact appends a count and springs back over the entries between it and the base, as the paper suggests. A
-// key that did not move keeps its old count, so each further entry of a growth would draw it afresh against
-// that: a fleet that doubles in ten steps would lose nearly all keys of its old servers to the new ones. In
-// the same way servers that leave and return would get too few. From the base straight to the present count
-// shares are even.
+// key that did not move keeps its old count, and each further entry would draw it afresh against that: old
+// servers would lose nearly all keys as a fleet grows in steps. From the base straight on shares are even.
 func compact(counts []int, n int) []int {
 	if counts = counts[:1:1]; n == counts[0] {
 		return counts
@@ -181,8 +177,8 @@
 // homeTries is how many places in the node's own zone a key is offered before the whole fleet's.
 const homeTries = 3
 
-// candidate is the i-th place on a key's chain. Crossing zones costs at every message, so a key walks the history
-// of its node's zone first, which all nodes of that zone share, and after that the whole fleet's.
+// candidate is the i-th place on a key's chain. Crossing zones costs at every message, so a key walks the
+// history of its node's zone first, which that zone's nodes share, and after that the whole fleet's.
 func (b *Balancer) candidate(r *request, i int) *server {
 	if len(b.home.owner) == 0 || chance(r.client, 2) >= b.homeShare {
 		return b.table.lookup(remix(r.key, i))
@@ -193,8 +189,8 @@
 	return b.table.lookup(remix(r.key, i-homeTries))
 }
 
-// holder guesses which server holds a connection whose packets now come by this node: the one where it stood when
-// they came by it before, else the one where the node that they came by will have placed it.
+// holder guesses which server holds a connection whose packets now come by this node: the one where it stood
+// when they came by it before, else the one where the node that they came by will have placed it.
 func (b *Balancer) holder(r *request) *server {
 	for _, m := range b.seen {
 		if s := m[r.client]; s != nil {
@@ -204,8 +200,8 @@
 	if len(b.home.owner) == 0 {
 		return b.table.lookup(r.key)
 	}
-	// A front keeps to the nodes of its zone while it has any. Just after this node's start it is given back what
-	// is its own; later on, where no other node is in its zone, what comes is another zone's.
+	// A front keeps to its zone's nodes. Just after a node's start it gives back what is that node's; later,
+	// where a node is alone in its zone, what comes is another zone's.
 	if b.set.Nodes <= b.zoneCount && b.now-b.startedAt > b.set.Rules.Fall*3/2 && len(b.zoned) == 2 {
 		for zone, t := range b.zoned {
 			if zone != b.set.Zone && len(t.owner) > 0 {
@@ -216,7 +212,7 @@
 	return b.home.lookup(r.key)
 }
 
-// Astray tells whether other nodes would look for an open connection's packets at another server than its own.
+// Astray tells whether other nodes would look for an open connection's packets where they do not belong.
 func (b *Balancer) Astray(id string) bool {
 	t := b.home
 	if len(t.owner) == 0 {
@@ -337,7 +333,7 @@
 	// A still period is as long as a server may stay cold: a snap in the middle of growth would steer keys
 	// twice.
 	if !b.snapped && time.Duration(e-b.lastChange)*b.epochLength() >= b.set.Rules.Cold {
-		b.snapped = true
+		b.snapped, b.usualPart = true, 0
 		b.table.snap(ready)
 		b.eachZone(ready, (*table).snap)
 		b.prune()
--- a/plastic_test.go
+++ b/plastic_test.go
@@ -275,6 +275,11 @@
 	if home, _ = place(a, 6*sec, 200, 400); home < 120 || home > 280 {
 		t.Errorf("%d of 400 keys at the one server left in the zone", home)
 	}
+	// A zone that has always been so small keeps more of its keys: all would cost less than crossing.
+	small := start(t, set, members, 3)
+	if h, _ := place(small, 2*sec, 1000, 400); h <= home+40 {
+		t.Errorf("%d of 400 keys at home in a small zone, %d just after it lost servers", h, home)
+	}
 	members[0].Phase = Gone
 	a.Handle(7*sec, Members{Kind: FullList, Entries: members})
 	if home, at = place(a, 10*sec, 600, 50); home != 0 || slices.Contains(at, "") {
