--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -169,6 +169,13 @@
 		w.extra = `"FamilyInfo":{"MessageAim":[0.05],"TellsDelay":true,"TellsLoad":false},`
 	})
 	c, s := w.connect(conns, "key")
+	// What makes no sense is passed on, and moves nobody.
+	absurd := []string{"LOAD 1e12", "LOAD -5", "LOAD NaN", "LOAD", "LOAD x"}
+	s.say(strings.Join(absurd, "\r\n") + "\r\n")
+	for _, l := range absurd {
+		equal(t, "absurd", l, c.line())
+	}
+	w.counts("absurd_loads=5")
 	s.say("a\r\nLOAD 3000\r\nb")
 	equal(t, "whole lines, then the move", []string{"a", "LOAD 3000", "MOVE"},
 		[]string{c.line(), c.line(), c.line()})
@@ -267,6 +274,42 @@
 	w.until("moves_stop=2")
 }
 
+// A stop amid many connections, just after a new configuration: each client, late ones too, is told to move between two
+// lines, and loses none of them.
+func TestStopUnderLoad(t *testing.T) {
+	w, conns := fleet(t, 3)
+	next := newDiscovery(t)
+	type pair struct{ c, s *peer }
+	var all []pair
+	add := func(n int) {
+		for range n {
+			c, s := w.connect(conns, fmt.Sprint("k", len(all)))
+			all = append(all, pair{c, s})
+		}
+	}
+	add(150)
+	await(t, w.watches)
+	w.reload(w.discovery.addr, next.addr)
+	await(t, next.watches)
+	for i, p := range all {
+		p.s.say(fmt.Sprintf("last %d\r\nhalf", i))
+	}
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	early := len(all)
+	add(5)
+	for i, p := range all {
+		if i < early {
+			equal(t, "before the move", fmt.Sprint("last ", i), p.c.line())
+		}
+		equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.c.line(), p.c.line()})
+		p.c.Close()
+	}
+	if err := await(t, w.exited); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	w.until("moves_stop=155")
+}
+
 // Where packets pass through, a stop leaves alone those whom another proxy will look for where they are; the others,
 // such as one that its first next hop turned away, are moved.
 func TestStopWherePacketsPass(t *testing.T) {
@@ -397,7 +440,7 @@
 // descriptors to requests.
 func TestSilentCrowd(t *testing.T) {
 	w, conns := one(t, func(w *world) { w.sockets = 96 })
-	trickle := w.dial()
+	trickle, began := w.dial(), time.Now()
 	go func() {
 		for trickle.t.Context().Err() == nil {
 			if _, err := io.WriteString(trickle, "O"); err != nil {
@@ -407,6 +450,9 @@
 		}
 	}()
 	equal(t, "who trickles", "ERR SYNTAX", trickle.line())
+	if took := time.Since(began); took > 10*time.Second { // 2.5 s, on however slow a machine
+		t.Errorf("who trickles was kept for %v", took)
+	}
 	var crowd []*peer
 	for i := range 300 {
 		p := w.dial()
@@ -425,6 +471,9 @@
 		}
 	}
 	w.counts("open=6")
+	if regexp.MustCompile(` evicted=0 .* open=6 `).MatchString(w.errs.text()) {
+		t.Error("nobody was evicted")
+	}
 }
 
 // Running out of descriptors must not end the proxy: gnet's own acceptor would.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -20,7 +20,7 @@
 	BytesToNextHops, BytesToClients                                                            Counter
 	BadLines, Overlong, NoFirstLine, NoRoom, AcceptErrors, DialErrors, SlowPeers               Counter
 	Lists, ListChanges, ListFailures, ListBroken, DelayNotes, LoadNotes, Reloads, ReloadErrors Counter
-	UnknownClass, SameID, Overtalked, Evicted                                                  Counter
+	UnknownClass, SameID, Overtalked, Evicted, AbsurdLoads                                     Counter
 	OpenNow                                                                                    Counter
 }
 
@@ -44,7 +44,7 @@
 		{"evicted", c.Evicted}, {"no_room", c.NoRoom}, {"accept_errors", c.AcceptErrors}, {"dial_errors", c.DialErrors},
 		{"slow_peers", c.SlowPeers}, {"lists", c.Lists}, {"list_changes", c.ListChanges},
 		{"list_failures", c.ListFailures}, {"list_broken", c.ListBroken}, {"delay_notes", c.DelayNotes},
-		{"load_notes", c.LoadNotes}, {"reloads", c.Reloads}, {"reload_errors", c.ReloadErrors},
+		{"load_notes", c.LoadNotes}, {"absurd_loads", c.AbsurdLoads}, {"reloads", c.Reloads}, {"reload_errors", c.ReloadErrors},
 		{"open", c.OpenNow},
 	} {
 		fmt.Fprintf(w, "%s=%d ", f.name, f.v)
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -189,6 +189,7 @@
 		if x, err := strconv.ParseFloat(string(rest), 64); err == nil && x >= 0 && !math.IsInf(x, 0) {
 			return Load, x
 		}
+		return Load, -1 // a report that says nothing, and no answer to a client's line either
 	}
 	return Other, 0
 }
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -13,7 +13,8 @@
 	Whole(b []byte) int
 	// Cut takes the first message off b, which holds whole messages.
 	Cut(b []byte) (message, rest []byte)
-	// Read tells what a message of a next hop means; x is the load where it tells one.
+	// Read tells what a message of a next hop means; x is the load where it tells one, below 0 if it makes no
+	// sense.
 	Read(message []byte) (s Sign, x float64)
 
 	Defer(after time.Duration) []byte // a final answer: come again after this
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -88,12 +88,19 @@
 // carries WIRE's note 2: it was seen to come once a second on one connection of each proxy from a slow next hop
 // alone, in milliseconds, and once more when that was over. Read as a load it would leave the module without the
 // only sign of a slow next hop, and would spoil its figures of what a connection asks.
+//
+// One broken next hop must not talk the module into moving all of its clients: a figure that no message can have, as
+// its client would long be gone, is passed on but not believed.
 func (a *attempt) noteLoad(x float64) {
 	p, f := a.f.p, a.f
+	if x < 0 || p.delays && x > float64(maxDelay/time.Millisecond) {
+		p.count.AbsurdLoads++
+		return
+	}
 	if p.delays {
 		p.count.DelayNotes++
 		a.hop.told = p.loop.Now()
-		delay := time.Duration(min(x, 1e9) * float64(time.Millisecond))
+		delay := time.Duration(x * float64(time.Millisecond))
 		p.tell(micafront.DelayNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Delay: delay})
 		return
 	}
@@ -101,6 +108,9 @@
 	p.tell(micafront.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
 }
 
+// maxDelay is the longest time of a message that a next hop is believed to take.
+const maxDelay = time.Minute
+
 // clientEnded passes on that the client ended its sending; what the next hop still says is relayed.
 func (f *flow) clientEnded() {
 	f.clientEnd = true
