Evict those who have had their error before those who have just connected

Seen by reading makeRoom (takein.go): with the bound filled by clients that were turned away and stay, each new connection was the eldest of those still without a request, and was answered BUSY before it was read. Checked by TestTurnedAwayCrowd, which fails without the change.

--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -436,6 +436,17 @@
 	equal(t, "answer", []string{"ERR SYNTAX", "EOF"}, []string{huge.line(), huge.line()})
 }
 
+// Clients that have had their error and stay must not keep out one that has only just connected.
+func TestTurnedAwayCrowd(t *testing.T) {
+	w, conns := one(t, func(w *world) { w.sockets = 96 })
+	for range 60 {
+		p := w.dial()
+		p.say("X\r\n")
+		equal(t, "answer", "ERR SYNTAX", p.line())
+	}
+	w.connect(conns, "key")
+}
+
 // Those who say nothing, half a line or only PING are ended in time, one that trickles too, and a crowd of them leaves
 // descriptors to requests.
 func TestSilentCrowd(t *testing.T) {
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -34,10 +34,13 @@
 func (p *Proxy) makeRoom() {
 	for p.strangers.waiting.Len()+p.strangers.leaving.Len() > p.maxStrangers() {
 		p.count.Evicted++
-		if e := p.strangers.waiting.Front(); e != nil {
+		// Those who have had their answer go first, unless most are silent: who has only just connected must
+		// not make way for them.
+		e := p.strangers.waiting.Front()
+		if e != nil && (p.strangers.leaving.Len() == 0 || p.strangers.waiting.Len() > p.maxStrangers()/2) {
 			f := e.Value.(*flow)
 			c := f.client
-			f.p.count.NoRoom++
+			p.count.NoRoom++
 			f.noStranger()
 			f.client = nil
 			c.Write(p.protocol.Defer(min(noRoomAfter, p.set.Limits.MaxRetryAfter)))
