--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -99,15 +99,16 @@
 
 type world struct {
 	*discovery
-	t       *testing.T
-	addr    string
-	cmd     *exec.Cmd
-	path    string // of the configuration
-	errs    *lockedBuffer
-	exited  chan error
-	sockets int
-	extra   string // further settings, as JSON members that end in a comma
-	state   string // further members of each entry
+	t        *testing.T
+	addr     string
+	cmd      *exec.Cmd
+	path     string // of the configuration
+	errs     *lockedBuffer
+	exited   chan error
+	sockets  int
+	extra    string // further settings, as JSON members that end in a comma
+	operator string // where operators call; "": nowhere
+	staff    string // where they found it
 }
 
 type lockedBuffer struct {
@@ -164,13 +165,13 @@
 	for _, f := range change {
 		f(w)
 	}
-	w.cmd, w.path = program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"5be964",
+	w.cmd, w.path = program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"operator":%q,"seed":"5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":{"Balancers":1,
 		"Discovery":"subscribe","Zone":"a",%s"Categories":[{"Name":"feed","Aim":30,"GiveUp":60,"Credit":5,
 		"Effect":"safe","DedupScope":"all"}],"Limits":{"AttemptsCap":6,"ConnectTimeout":20,
 		"MaxRetryAfter":1,"MaxOpen":100000,"RetryAfter":true,"MayCancel":true},"Invariants":{
 		"AnswerSlack":0.016,"AskEvery":1,"Cold":8.9,"ColdFrom":0.3,"DrainGrace":3,"Fall":1,
-		"OverloadFactor":3}}}`, w.discovery.addr, w.sockets, known, w.extra))
+		"OverloadFactor":3}}}`, w.discovery.addr, w.operator, w.sockets, known, w.extra))
 	w.cmd.Stderr = w.errs
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -179,6 +180,9 @@
 	t.Cleanup(func() { w.cmd.Process.Kill() })
 	_, rest, _ := strings.Cut(w.until("serves at "), "serves at ")
 	w.addr = strings.TrimSpace(strings.SplitN(rest, "\n", 2)[0])
+	if _, rest, ok := strings.Cut(w.errs.text(), "operators call at "); ok {
+		w.staff, _, _ = strings.Cut(rest, "\n")
+	}
 	return w
 }
 
--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -53,6 +53,9 @@
 			}
 		}
 	}()
+	if at := p.Operator(); at != "" {
+		fmt.Fprintf(os.Stderr, "micafront: operators call at %s\n", at)
+	}
 	fmt.Fprintf(os.Stderr, "micafront: %s serves at %s\n", c.Name, p.Addr())
 	return p.Run()
 }
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -310,17 +310,18 @@
 	w.until("moves_stop=155")
 }
 
-// Where packets pass through, a stop leaves alone those whom another proxy will look for where they are; the others,
-// such as one that its first next hop turned away, are moved.
-func TestStopWherePacketsPass(t *testing.T) {
+// passThrough starts the program where packets pass through, with a client whom other proxies will look for where it
+// is, and one whom its first next hop turned away.
+func passThrough(t *testing.T, change ...func(*world)) (w *world, client, server, astray *peer) {
+	t.Helper()
 	conns := make(chan *peer, 64)
 	near, far := newHop(t, "s-1", conns), newHop(t, "s-2", conns)
-	w := start(t, list(1, true, entry(near.id, near.addr, "in_service"),
+	w = start(t, list(1, true, entry(near.id, near.addr, "in_service"),
 		strings.Replace(entry(far.id, far.addr, "in_service"), `"zone":"a"`, `"zone":"b"`, 1)),
-		func(w *world) { w.extra = `"FamilyInfo":{"Mode":"pass"},` })
-	c, s := w.connect(conns, "key")
-	equal(t, "in the proxy's zone", near.addr, s.LocalAddr().String())
-	astray := w.dial()
+		append(change, func(w *world) { w.extra = `"FamilyInfo":{"Mode":"pass"},` })...)
+	client, server = w.connect(conns, "key")
+	equal(t, "in the proxy's zone", near.addr, server.LocalAddr().String())
+	astray = w.dial()
 	astray.say(opening("key2"))
 	first := await(t, conns)
 	first.line()
@@ -329,6 +330,13 @@
 	at.line()
 	at.say("UP r\r\n")
 	equal(t, "answer", "UP r", astray.line())
+	return w, client, server, astray
+}
+
+// Where packets pass through, a drain and a stop leave alone those whom another proxy will look for where they are;
+// the others are moved.
+func TestStopWherePacketsPass(t *testing.T) {
+	w, c, s, astray := passThrough(t)
 	w.cmd.Process.Signal(syscall.SIGTERM)
 	equal(t, "moved", []string{"MOVE", "EOF"}, []string{astray.line(), astray.line()})
 	c.say("M 1\r\n")
@@ -340,6 +348,17 @@
 	w.until("moves_stop=1")
 }
 
+func TestDrainWherePacketsPass(t *testing.T) {
+	w, c, s, astray := passThrough(t, withStaff)
+	if status, _ := w.call("PUT", "/api/evacuate"); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	equal(t, "drained", "ERR DRAINED", w.ping())
+	equal(t, "moved", []string{"MOVE", "EOF"}, []string{astray.line(), astray.line()})
+	c.say("M 1\r\n")
+	equal(t, "still relayed", "M 1", s.line())
+}
+
 // SIGHUP ended the program. It reads the configuration again: a bad one changes nothing; a new discovery is asked
 // for everything, its generations may be lower, and the old one's end is no failure.
 func TestReload(t *testing.T) {
--- /dev/null
+++ b/cmd/micafront/operator_test.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// withStaff has the program listen for operators.
+func withStaff(w *world) { w.operator = "127.0.0.1:0" }
+
+// call makes one operator's call and gives the status and the body.
+func (w *world) call(method, path string) (int, string) {
+	w.t.Helper()
+	req, err := http.NewRequest(method, "http://"+w.staff+path, nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := c.Do(req)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return res.StatusCode, string(body)
+}
+
+// figures reads the telemetry until these figures are true.
+func (w *world) figures(want map[string]string) {
+	w.t.Helper()
+	var diff string
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		_, body := w.call("GET", "/api/telemetry")
+		got := map[string]string{}
+		for _, l := range strings.Split(strings.TrimSpace(body), "\n") {
+			name, value, _ := strings.Cut(l, "=")
+			if _, asked := want[name]; asked {
+				got[name] = value
+			}
+		}
+		if diff = cmp.Diff(want, got); diff == "" {
+			return
+		}
+	}
+	w.t.Fatalf("figures (-want +got):\n%s", diff)
+}
+
+func (w *world) ping() string {
+	w.t.Helper()
+	c := w.dial()
+	defer c.Close()
+	c.say("PING\r\n")
+	return c.line()
+}
+
+func TestOperatorCalls(t *testing.T) {
+	w, _ := one(t, withStaff)
+	for _, c := range []struct {
+		call   string
+		status int
+	}{
+		{"GET /api/ready", 200}, {"GET /api/telemetry", 200}, {"PUT /api/rejoin", 200}, {"HEAD /api/ready", 200},
+		{"GET /api/ready?x=1", 200}, {"GET /", 404}, {"PUT /api/readyy", 404}, {"GET /api/evacuate", 405},
+		{"POST /api/rejoin", 405}, {"DELETE /api/telemetry", 405},
+	} {
+		method, path, _ := strings.Cut(c.call, " ")
+		status, _ := w.call(method, path)
+		equal(t, c.call, c.status, status)
+	}
+	for in, want := range map[string]string{
+		"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n":                                         "200",
+		"PUT /api/rejoin HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello":                         "200",
+		"PUT /api/rejoin HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n": "200",
+		"PUT /api/rejoin HTTP/1.1\r\nContent-Length: -5\r\n\r\n":                             "400",
+		"PUT /api/rejoin HTTP/1.1\r\nContent-Length: 99999\r\n\r\n":                          "413",
+		"GET /api/ready HTTP/2.0\r\n\r\n":                                                    "505",
+		"GET  /api/ready HTTP/1.1\r\n\r\n":                                                   "400",
+		"PING\r\n\r\n":                                                                       "400",
+		"GET /" + strings.Repeat("x", 5000):                                                  "431",
+	} {
+		c := w.callers()
+		go func() { // in pieces: a byte at a time, each in a packet of its own
+			for i := range len(in) {
+				if _, err := io.WriteString(c, in[i:i+1]); err != nil {
+					return
+				}
+			}
+		}()
+		equal(t, fmt.Sprintf("status of %.60q", in), want, strings.Fields(c.line())[1])
+	}
+	half := w.callers()
+	half.say("GET /api/ready HT")
+	half.CloseWrite()
+	equal(t, "half a call and its end", "HTTP/1.1 400 Bad Request", half.line())
+}
+
+// callers connects as an operator does.
+func (w *world) callers() *peer {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.staff)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return newPeer(w.t, c)
+}
+
+// Callers who finish nothing and clients who take every descriptor must not shut staff out.
+func TestOperatorAmidFlood(t *testing.T) {
+	w, _ := one(t, withStaff, func(w *world) { w.sockets = 48 })
+	var stuck []*peer
+	for range 40 {
+		c := w.callers()
+		c.say("GET /api/re")
+		stuck = append(stuck, c)
+	}
+	stop := make(chan bool)
+	defer close(stop)
+	for range 4 {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", w.addr); err == nil {
+					io.WriteString(c, opening("key")) // no next hop answers: descriptors stay taken
+					defer c.Close()
+				} else {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		}()
+	}
+	for range 100 {
+		status, _ := w.call("GET", "/api/ready")
+		equal(t, "amid the flood", 200, status)
+	}
+	// The eldest went, and the freshest are still waited for.
+	equal(t, "eldest", "EOF", stuck[0].line())
+	if _, body := w.call("GET", "/api/telemetry"); !regexp.MustCompile(`(?m)^svc\.pending=[1-9]`).MatchString(body) {
+		t.Errorf("no flood: %s", body)
+	}
+}
+
+// Each taken request ends in at most one figure of its class, and an attempt counts once its line is out.
+func TestFigures(t *testing.T) {
+	w, conns := one(t, withStaff)
+	c, s := w.connect(conns, "a")
+	failed := w.dial()
+	failed.say(opening("b"))
+	at := await(t, conns)
+	at.line()
+	w.figures(map[string]string{"svc.pending": "2", "svc.upstream_requests": "2", "svc.members": "1",
+		"svc.members_unavailable": "0", "svc.downstream_requests.feed.completed": "1"})
+	failed.say("too early\r\n")
+	equal(t, "failed", "ERR SYNTAX", failed.line())
+	refused := w.dial()
+	refused.say(opening("c"))
+	at = await(t, conns)
+	at.line()
+	at.say("BUSY\r\n")
+	if l := refused.line(); !strings.HasPrefix(l, "BUSY ") {
+		t.Errorf("answer %q", l)
+	}
+	bad := w.dial()
+	bad.say("OPEN x k c=none,d=5000\r\n")
+	equal(t, "not taken", "ERR SYNTAX", bad.line())
+	w.reload(`"known":{`, `"known":[{`)
+	w.until("configuration not taken")
+	w.reload(`"known":[{`, `"known":{`)
+	c.Close()
+	equal(t, "its end", "EOF", s.line())
+	for _, p := range []*peer{failed, refused, bad} {
+		p.Close()
+	}
+	await(t, w.watches)
+	w.lists <- list(2, false, entry("s-1", "", "terminating"), entry("s-2", "127.0.0.1:1", "in_service"))
+	w.figures(map[string]string{"svc.pending": "0", "svc.upstream_requests": "3", "svc.members": "2",
+		"svc.members_unavailable": "1", "svc.config_reloads": "1", "svc.config_reload_errors": "1",
+		"svc.downstream_requests.feed.completed": "1", "svc.downstream_requests.feed.rejected": "1",
+		"svc.downstream_requests.feed.failed": "1"})
+}
+
+// A drained proxy says no to PING, moves those who stand and those who come up meanwhile, goes on serving, and is
+// back after a rejoin. Each step twice: staff press buttons again.
+func TestDrain(t *testing.T) {
+	w, conns := one(t, withStaff)
+	put := func(path string) {
+		t.Helper()
+		for range 2 {
+			status, _ := w.call("PUT", path)
+			equal(t, path, 200, status)
+		}
+	}
+	moved := func(p *peer) {
+		t.Helper()
+		equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.line(), p.line()})
+	}
+	early, _ := w.connect(conns, "a")
+	equal(t, "before", "PONG", w.ping())
+	put("/api/evacuate")
+	equal(t, "drained", "ERR DRAINED", w.ping())
+	moved(early)
+	late, _ := w.connect(conns, "b")
+	moved(late)
+	status, _ := w.call("GET", "/api/ready")
+	equal(t, "the process serves", 200, status)
+	put("/api/rejoin")
+	equal(t, "back", "PONG", w.ping())
+	c, s := w.connect(conns, "c")
+	c.say("M 1\r\n")
+	equal(t, "stays", "M 1", s.line())
+	put("/api/evacuate")
+	put("/api/rejoin") // before anybody was moved
+	put("/api/evacuate")
+	moved(c)
+	last, _ := w.connect(conns, "d")
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	moved(last)
+	last.Close()
+	if err := await(t, w.exited); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	w.until("moves_stop=4")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 // Config is all that a proxy knows at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Operator                string // where operators call; "": nowhere
 	Seed                    uint64
 	MemoryMB, Sockets       int
 	Known                   registry.List
@@ -32,6 +33,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		MemoryMB int `json:"memory_mb"`
@@ -61,13 +63,13 @@
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("%s: not valid: %w", path, err)
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, MemoryMB: f.Limits.MemoryMB,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets}
 	c.told = f.Discovery
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}, {"EDGE_OPERATOR", &c.Operator}} {
 		s := env(v.name)
 		if before != nil && v.to == &c.Discovery {
 			if s = before.Discovery; f.Discovery != before.told {
@@ -77,11 +79,14 @@
 		if s != "" {
 			*v.to = s
 		}
-		if *v.to == "" {
+		if *v.to == "" && v.to != &c.Operator {
 			return nil, fmt.Errorf("%s is not set, and %s does not tell it", v.name, path)
 		}
 	}
-	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Operator}} {
+		if a.addr == "" && a.name == "operator" {
+			continue
+		}
 		host, port, err := net.SplitHostPort(a.addr)
 		if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || net.ParseIP(host) == nil ||
 			a.name == "discovery" && n == 0 {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -22,6 +22,42 @@
 	Lists, ListChanges, ListFailures, ListBroken, DelayNotes, LoadNotes, Reloads, ReloadErrors Counter
 	UnknownClass, SameID, Overtalked, Evicted, AbsurdLoads                                     Counter
 	OpenNow                                                                                    Counter
+
+	classes map[string]*Requests
+	names   []string
+}
+
+// Requests are one class's final answers. Each request that was taken ends in at most one of them.
+type Requests struct{ Completed, Rejected, Failed Counter }
+
+// Class gives a class's figures, from 0 on when it is first named. They stay when the settings drop the class.
+func (c *Counters) Class(name string) *Requests {
+	r := c.classes[name]
+	if r == nil {
+		if c.classes == nil {
+			c.classes = map[string]*Requests{}
+		}
+		r = &Requests{}
+		c.classes[name] = r
+		c.names = append(c.names, name)
+	}
+	return r
+}
+
+// State is what is true at this moment, as the operators read it beside the counts.
+type State struct{ Pending, Members, MembersUnavailable int }
+
+// Figures appends what operators read: a name=value line each.
+func (c *Counters) Figures(b []byte, s State) []byte {
+	for _, name := range c.names {
+		r := c.classes[name]
+		under := "svc.downstream_requests." + name
+		b = fmt.Appendf(b, "%s.completed=%d\n%s.rejected=%d\n%s.failed=%d\n", under, r.Completed, under, r.Rejected,
+			under, r.Failed)
+	}
+	return fmt.Appendf(b, "svc.upstream_requests=%d\nsvc.pending=%d\nsvc.members=%d\nsvc.members_unavailable=%d\n"+
+		"svc.config_reloads=%d\nsvc.config_reload_errors=%d\n", c.Attempts, s.Pending, s.Members,
+		s.MembersUnavailable, c.Reloads, c.ReloadErrors)
 }
 
 // Print writes one line of name=value pairs.
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -101,6 +101,7 @@
 	accept func() (more bool)
 	waits  bool // to accept in a later turn
 	addr   string
+	Room   func() bool // whether one more may be accepted; nil: always
 }
 
 // acceptTurn bounds what one turn accepts: those who connected before are read in between.
@@ -139,6 +140,10 @@
 	ln := &Listener{loop: l, fd: fd, addr: bound.String()}
 	ln.accept = func() bool {
 		for range acceptTurn {
+			if ln.Room != nil && !ln.Room() {
+				ln.later(acceptPause)
+				return false
+			}
 			nfd, _, err := socket.Accept(fd)
 			switch err {
 			case nil:
@@ -178,6 +183,7 @@
 	if ln.loop.listeners[ln.fd] != ln {
 		return
 	}
+	ln.Room = nil
 	for ln.accept() {
 	}
 	delete(ln.loop.listeners, ln.fd)
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -15,6 +15,7 @@
 // What the proxy says itself.
 var (
 	Pong      = []byte("PONG\r\n")
+	Drained   = []byte("ERR DRAINED\r\n") // to PING, where new connections should go elsewhere
 	Busy      = []byte("BUSY\r\n")
 	Err       = []byte("ERR\r\n")
 	Malformed = []byte("ERR SYNTAX\r\n")
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -8,9 +8,17 @@
 
 // Admit: from here on the request is owed one final answer; the module decides which.
 
-// spareSockets are kept for what is not a flow: discovery, the loop's own descriptors, standard files, and a
-// request's own way to a next hop.
-const spareSockets = 24
+// Descriptors are kept back in two steps, so that no flood of clients shuts staff or discovery out: requests are
+// refused while spareSockets are left, their own ways to next hops among them; when only keptSockets are left, clients
+// wait in the kernel and no attempt goes out. Those are the operators' callers, discovery's calls, the loop's own
+// descriptors and the standard files.
+const (
+	spareSockets = 32
+	keptSockets  = 24
+)
+
+// room tells whether more than that many descriptors are left.
+func (p *Proxy) room(kept int) bool { return p.sockets == 0 || p.loop.Open()+kept <= p.sockets }
 
 // noRoomAfter is when a client may come again that met a proxy with no room.
 const noRoomAfter = time.Second
@@ -18,7 +26,7 @@
 func (p *Proxy) admit(f *flow) {
 	o := f.opening
 	// Beyond the limits requests are sent back before they reach the module.
-	if p.sockets > 0 && p.loop.Open()+spareSockets > p.sockets ||
+	if !p.room(spareSockets) ||
 		p.set.Limits.MaxOpen > 0 && len(p.flows) > p.set.Limits.MaxOpen {
 		p.count.NoRoom++
 		p.refuse(f, min(noRoomAfter, p.set.Limits.MaxRetryAfter))
@@ -53,6 +61,7 @@
 func (p *Proxy) refuse(f *flow, after time.Duration) {
 	if !f.answered {
 		p.count.Deferred++
+		f.figures.Rejected++
 		f.answer(p.protocol.Defer(after))
 	}
 }
@@ -60,6 +69,7 @@
 func (p *Proxy) fail(f *flow) {
 	if !f.answered {
 		p.count.Failed++
+		f.figures.Failed++
 		f.answer(p.protocol.Fail())
 	}
 }
--- /dev/null
+++ b/internal/proxy/leave.go
@@ -0,0 +1,119 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"example.org/micafront"
+	"example.org/micafront/internal/counters"
+)
+
+// Sending clients away: at a stop, or while the operators have the proxy drained. Both share one turn.
+
+const (
+	stopArrivals = 700 * time.Millisecond  // arrivals go on for up to 0.4 s after the signal
+	stopQuiet    = 300 * time.Millisecond  // and none must have come for this long
+	stopMoved    = 2300 * time.Millisecond // clients are moved until then, or until the longest deadline
+	stopLast     = 3300 * time.Millisecond
+	stopStep     = 50 * time.Millisecond
+)
+
+// Stop ends the proxy in an orderly way: what still arrives is accepted and answered, requests in flight are
+// settled, and every open connection's client is told to move, at an even pace. It may be called from any
+// goroutine.
+func (p *Proxy) Stop() error {
+	return p.loop.Post(func() {
+		if !p.stopping {
+			p.stopping, p.stoppedAt = true, p.loop.Now()
+			p.leave()
+		}
+	})
+}
+
+// Ready, Telemetry, Evacuate and Rejoin are what operators ask for (operator.Proxy).
+func (p *Proxy) Ready() bool { return p.closedAt == 0 }
+
+func (p *Proxy) Telemetry() []byte {
+	return p.count.Figures(nil, counters.State{Pending: len(p.flows), Members: len(p.hops),
+		MembersUnavailable: p.module.Avoided()})
+}
+
+// Evacuate sends clients away and keeps on serving those who come all the same. Once is as good as twice.
+func (p *Proxy) Evacuate() {
+	if !p.drained {
+		p.drained = true
+		p.leave()
+	}
+}
+
+// Rejoin takes the proxy back to work. A stop that has begun goes on.
+func (p *Proxy) Rejoin() {
+	p.drained = false
+	if !p.stopping {
+		p.leavingAt = 0
+	}
+}
+
+// leave begins to send clients away, unless that is under way.
+func (p *Proxy) leave() {
+	if p.leavingAt == 0 {
+		p.leavingAt = p.loop.Now()
+		p.leaveTurn(p.leavingAt)
+	}
+}
+
+// leaveTurn is one step of the leave that began at since; a rejoin in between has ended it.
+func (p *Proxy) leaveTurn(since time.Duration) {
+	if p.leavingAt != since {
+		return
+	}
+	p.sendAway(p.loop.Now() - since)
+	if p.stopping && p.stopped(p.loop.Now()-p.stoppedAt) {
+		p.printNow(p.log)
+		_ = p.loop.Stop()
+		return
+	}
+	p.loop.After(stopStep, func() { p.leaveTurn(since) })
+}
+
+// sendAway moves this step's part of those that stand. At first none: new connections still come.
+func (p *Proxy) sendAway(past time.Duration) {
+	if past < stopArrivals/2 {
+		return
+	}
+	leaving := p.open
+	if p.set.PassThrough {
+		// Once this proxy is gone the front sends the packets of open connections by another one, and
+		// they go on unbroken where that one looks for them at the right next hop: a move would only
+		// cost them the way back. The others would be reset. All else is held to the end.
+		leaving = nil
+		for _, f := range p.open {
+			if p.module.Astray(f.id) {
+				leaving = append(leaving, f)
+			}
+		}
+	}
+	// The kill comes 0.7 s after the longest deadline, or after 3.7 s; a drain is to be over after 4 s. All are gone
+	// well before, so that those placed late can follow.
+	until := time.Duration(0)
+	for _, c := range p.set.Classes {
+		until = max(until, min(c.GiveUp, stopMoved))
+	}
+	steps := max(int((until-past)/stopStep), 1)
+	for _, f := range slices.Clone(leaving[:(len(leaving)+steps-1)/steps]) {
+		p.count.MovesStop++
+		p.move(f, micafront.Cancelled)
+	}
+}
+
+// stopped closes the listener once nothing comes any more, and tells whether all is over.
+func (p *Proxy) stopped(past time.Duration) bool {
+	now := p.loop.Now()
+	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
+	if p.closedAt == 0 && (quiet && len(p.flows) == 0 || past >= stopLast) {
+		p.listener.Close()
+		p.closedAt = now
+	}
+	// What the listener's queue still held has been accepted by its Close, but is yet to be read and answered.
+	return p.closedAt != 0 && (len(p.flows) == 0 && now-p.closedAt >= stopStep || past >= stopLast+stopQuiet)
+}
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -5,10 +5,11 @@
 // Protocol is all that the stages know of the text on the sockets. A second protocol goes through the same
 // stages, decisions and rules by another implementation.
 type Protocol interface {
-	// Greet reads the start of what a client sent: n bytes are used up, 0 where more must come. Either o
-	// or reply is set: a request, or the answer to a readiness check, after which another greeting may
-	// come.
-	Greet(b []byte) (n int, o *Opening, reply []byte, err error)
+	// Greet reads the start of what a client sent: n bytes are used up, 0 where more must come. Without o it
+	// was a readiness check, after which another greeting may come.
+	Greet(b []byte) (n int, o *Opening, err error)
+	// Ready is the answer to a readiness check.
+	Ready(yes bool) []byte
 	// Whole is how many bytes of b are whole messages.
 	Whole(b []byte) int
 	// Cut takes the first message off b, which holds whole messages.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,13 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"time"
 
 	"example.org/micafront"
 	"example.org/micafront/internal/config"
 	"example.org/micafront/internal/counters"
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/operator"
 	"example.org/micafront/internal/registry"
 )
 
@@ -23,6 +23,7 @@
 type Proxy struct {
 	loop     *evloop.Loop
 	listener *evloop.Listener
+	staff    *operator.Server // nil: none is told
 	protocol Protocol
 	module   *micafront.Balancer
 	set      micafront.Settings
@@ -44,7 +45,10 @@
 	open    []*flow // connections that stand
 	sweepAt time.Duration
 
+	drained     bool // by the operators: new connections should go elsewhere
 	stopping    bool
+	stoppedAt   time.Duration // when the stop began
+	leavingAt   time.Duration // since when clients are sent away, for either reason; 0: they are not
 	closedAt    time.Duration // when the listener was closed; 0: it listens
 	lastTakenIn time.Duration
 }
@@ -63,6 +67,7 @@
 	id       string
 	opening  *Opening // until the connection stands
 	class    string
+	figures  *counters.Requests // of the class under which it came
 	clientID string
 	stranger *list.Element // in strangers.waiting, until its first message is understood
 	pings    int
@@ -97,11 +102,28 @@
 	if p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed); err != nil {
 		return nil, err
 	}
+	p.listener.Room = func() bool { return p.room(keptSockets) }
+	if c.Operator != "" {
+		if p.staff, err = operator.Listen(loop, c.Operator, p); err != nil {
+			return nil, err
+		}
+	}
+	for _, class := range c.Settings.Classes {
+		p.count.Class(class.Name)
+	}
 	p.hearList(c.Known, micafront.SavedList)
 	p.sweep()
 	return p, nil
 }
 
+// Operator is where the operators call, "" where no such place was told.
+func (p *Proxy) Operator() string {
+	if p.staff == nil {
+		return ""
+	}
+	return p.staff.Addr()
+}
+
 // Addr is where the proxy listens.
 func (p *Proxy) Addr() string { return p.listener.Addr() }
 
@@ -134,66 +156,3 @@
 		fmt.Fprintln(p.log, "configuration not taken:", err)
 	})
 }
-
-const (
-	stopArrivals = 700 * time.Millisecond  // arrivals go on for up to 0.4 s after the signal
-	stopQuiet    = 300 * time.Millisecond  // and none must have come for this long
-	stopMoved    = 2300 * time.Millisecond // clients are moved until then, or until the longest deadline
-	stopLast     = 3300 * time.Millisecond
-	stopStep     = 50 * time.Millisecond
-)
-
-// Stop ends the proxy in an orderly way: what still arrives is accepted and answered, requests in flight are
-// settled, and every open connection's client is told to move, at an even pace. It may be called from any
-// goroutine.
-func (p *Proxy) Stop() error {
-	return p.loop.Post(func() {
-		if p.stopping {
-			return
-		}
-		p.stopping = true
-		p.stopTurn(p.loop.Now())
-	})
-}
-
-func (p *Proxy) stopTurn(since time.Duration) {
-	now := p.loop.Now()
-	past := now - since
-	if past >= stopArrivals/2 {
-		leaving := p.open
-		if p.set.PassThrough {
-			// Once this proxy is gone the front sends the packets of open connections by another one, and
-			// they go on unbroken where that one looks for them at the right next hop: a move would only
-			// cost them the way back. The others would be reset. All else is held to the end.
-			leaving = nil
-			for _, f := range p.open {
-				if p.module.Astray(f.id) {
-					leaving = append(leaving, f)
-				}
-			}
-		}
-		// The kill comes 0.7 s after the longest deadline, or after 3.7 s. All are gone well before, so that
-		// those placed late can follow.
-		until := time.Duration(0)
-		for _, c := range p.set.Classes {
-			until = max(until, min(c.GiveUp, stopMoved))
-		}
-		steps := max(int((until-past)/stopStep), 1)
-		for _, f := range slices.Clone(leaving[:(len(leaving)+steps-1)/steps]) {
-			p.count.MovesStop++
-			p.move(f, micafront.Cancelled)
-		}
-	}
-	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
-	if p.closedAt == 0 && (quiet && len(p.flows) == 0 || past >= stopLast) {
-		p.listener.Close()
-		p.closedAt = now
-	}
-	// What the listener's queue still held has been accepted by its Close, but is yet to be read and answered.
-	if p.closedAt != 0 && (len(p.flows) == 0 && now-p.closedAt >= stopStep || past >= stopLast+stopQuiet) {
-		p.printNow(p.log)
-		_ = p.loop.Stop()
-		return
-	}
-	p.loop.After(stopStep, func() { p.stopTurn(since) })
-}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -41,13 +41,17 @@
 		return
 	}
 	f.attempt = a
-	p.count.Attempts++
 	a.dial()
 }
 
 // dial begins the attempt. It must come up within the settings' time.
 func (a *attempt) dial() {
 	p := a.f.p
+	if !p.room(keptSockets) {
+		p.count.DialErrors++
+		a.end(micafront.Moot)
+		return
+	}
 	conn, err := p.loop.Dial(a.hop.addr, a)
 	if err != nil {
 		p.count.DialErrors++
@@ -73,7 +77,17 @@
 	b := a.f.opening.Forward(left)
 	p.count.BytesToNextHops += counter(len(b))
 	a.conn.Write(b)
-	a.wrote = a.conn.Pending() == 0
+	if a.conn.Pending() == 0 {
+		a.written()
+	}
+}
+
+// written books the attempt: from here on it may have run.
+func (a *attempt) written() {
+	if !a.wrote {
+		a.wrote = true
+		a.f.p.count.Attempts++
+	}
 }
 
 func (a *attempt) expired() {
@@ -85,7 +99,7 @@
 }
 
 func (a *attempt) Drained() {
-	a.wrote = true
+	a.written()
 	if a.f.place >= 0 && a.f.client != nil {
 		a.f.client.Resume()
 	}
@@ -114,6 +128,7 @@
 		case SignBye:
 			a.f.answered = true
 			p.count.Served++
+			a.f.figures.Completed++
 			a.f.endClient(m)
 			a.end(micafront.OK)
 		case SignMove:
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -112,7 +112,7 @@
 func (f *flow) greet() {
 	p := f.p
 	for len(f.in) > 0 {
-		n, o, reply, err := p.protocol.Greet(f.in)
+		n, o, err := p.protocol.Greet(f.in)
 		if err != nil {
 			if err == errOverlong {
 				p.count.Overlong++
@@ -138,7 +138,7 @@
 			return
 		}
 		f.pings++
-		f.client.Write(reply)
+		f.client.Write(p.protocol.Ready(!p.drained))
 	}
 }
 
@@ -151,6 +151,7 @@
 // overtalked ends a request whose client did not wait for its answer.
 func (f *flow) overtalked() {
 	f.p.count.Overtalked++
+	f.figures.Failed++
 	f.answer(f.p.protocol.Malformed())
 	f.giveUp()
 }
@@ -175,6 +176,7 @@
 		p.lastID++
 		f.id = strconv.FormatUint(p.lastID, 36)
 		f.opening, f.class, f.clientID = o, o.Class, o.ID
+		f.figures = p.count.Class(o.Class)
 		p.flows[f.id], p.ids[o.ID] = f, f
 		if o.Standing != "" {
 			p.count.Standing++
--- a/internal/proxy/text.go
+++ b/internal/proxy/text.go
@@ -11,24 +11,31 @@
 type Text struct{}
 
 // Greet implements Protocol, as do the methods below.
-func (Text) Greet(b []byte) (int, *Opening, []byte, error) {
+func (Text) Greet(b []byte) (int, *Opening, error) {
 	l, _, ok := line.Cut(b)
 	if !ok || len(l) > line.Max {
 		if len(b) > line.Max || ok {
-			return 0, nil, nil, errOverlong
+			return 0, nil, errOverlong
 		}
-		return 0, nil, nil, nil
+		return 0, nil, nil
 	}
 	if line.IsPing(l) {
-		return len(l), nil, line.Pong, nil
+		return len(l), nil, nil
 	}
 	o, err := line.ParseOpen(bytes.Clone(l))
 	if err != nil {
-		return 0, nil, nil, err
+		return 0, nil, err
 	}
 	return len(l), &Opening{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Standing: o.At, Wait: o.Wait,
 		HasWait: o.HasWait, Hint: o.Hint, Repeat: o.Repeat, Again: o.Again, MidFlow: o.MidFlow,
-		Forward: func(wait time.Duration) []byte { return o.AppendFirst(nil, wait) }}, nil, nil
+		Forward: func(wait time.Duration) []byte { return o.AppendFirst(nil, wait) }}, nil
+}
+
+func (Text) Ready(yes bool) []byte {
+	if yes {
+		return line.Pong
+	}
+	return line.Drained
 }
 
 func (Text) Whole(b []byte) int { return line.Last(b) }
