--- a/balancer.go
+++ b/balancer.go
@@ -19,7 +19,7 @@
 	now     Instant
 	out     []Action
 	classes map[string]*Class
-	usual   map[*Class]float64 // load of a connection, per class, as far as notes tell
+	usual   map[string]float64 // load of a connection by class, "" for all, as far as notes tell
 
 	requests map[string]*request
 	timers   map[string]*request // deadline timers by token
@@ -91,22 +91,13 @@
 		return nil, fmt.Errorf("micafront: %w", err)
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), gate: 1,
-		classes: map[string]*Class{}, usual: map[*Class]float64{}, crowd: crowd{count: map[uint64]float64{}},
+		classes: map[string]*Class{}, usual: map[string]float64{}, crowd: crowd{count: map[uint64]float64{}},
 		requests: map[string]*request{}, timers: map[string]*request{},
 		zoned: map[string]*table{}, home: &table{},
 		seen:    [2]map[uint64]*server{{}, {}},
 		servers: map[string]*server{}, zones: map[string]*suspicion{},
-		tenants: map[string]int{}, shares: map[string]*Tenant{}}
-	for i := range set.Tenants {
-		b.shares[set.Tenants[i].Name] = &b.set.Tenants[i]
-	}
-	for i := range set.Classes {
-		c := &b.set.Classes[i]
-		b.classes[c.Name] = c
-		if a := c.MessageAim; a > 0 && (b.minMessageAim == 0 || a < b.minMessageAim) {
-			b.minMessageAim = a
-		}
-	}
+		tenants: map[string]int{}}
+	b.adoptSettings(set)
 	return b, nil
 }
 
--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -199,6 +199,13 @@
 
 // reload replaces a text of the configuration and sends SIGHUP.
 func (w *world) reload(from, to string) {
+	w.t.Helper()
+	w.rewrite(from, to)
+	w.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// rewrite only replaces it.
+func (w *world) rewrite(from, to string) {
 	w.t.Helper()
 	text, err := os.ReadFile(w.path)
 	if err == nil {
@@ -207,7 +214,6 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.cmd.Process.Signal(syscall.SIGHUP)
 }
 
 func (w *discovery) watch(rw http.ResponseWriter, r *http.Request) {
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -530,7 +530,9 @@
 		{"seed", `"seed":"1"`, `"seed":"x"`, "seed"},
 		{"known", `"generation":0`, `"generation":"x"`, "known"},
 		{"settings", `"settings":{}`, `"settings":[]`, "settings"},
-		{"no classes", "", "", "no classes"},
+		{"empty", good, "", "not valid"},
+		{"no settings", `,"settings":{}`, "", "settings"},
+		{"a key of the settings", "", "", "key Balancers is missing"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var errs bytes.Buffer
--- a/cmd/micafront/operator_test.go
+++ b/cmd/micafront/operator_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"strings"
 	"syscall"
@@ -236,3 +237,60 @@
 	}
 	w.until("moves_stop=4")
 }
+
+// SIGHUP brings other settings. A file that is not whole is turned down whole; a new class counts at once, with its
+// effect; one that is dropped stays on connections that were open under it.
+func TestRetune(t *testing.T) {
+	w, conns := fleet(t, 6, withStaff)
+	for i, c := range []struct{ from, to string }{
+		{`"GiveUp":60,`, ""}, {`"GiveUp":60`, `"GiveUp":0`}, {`"GiveUp":60`, `"GiveUp":"60"`},
+		{`"GiveUp":60`, `"GiveUp":null`}, {`"AttemptsCap":6`, `"AttemptsCap":-1`}, {`"AttemptsCap":6`, `"AttemptsCap":2.5`},
+		{`"AttemptsCap":6,`, ""}, {`"memory_mb":192,`, ""}, {`"seed":"5be964",`, ""}, {`"DedupScope"`, `"Dedup"`},
+		{`"OverloadFactor":3}}}`, `"OverloadFactor":3}}`}, {`"Name":"feed"`, `"Name":""`},
+		{`"Categories":[`, `"Categories":[{"Name":"other"},`},
+	} {
+		text, err := os.ReadFile(w.path)
+		if err != nil || !strings.Contains(string(text), c.from) {
+			t.Fatalf("%v, or no %q in %s", err, c.from, text)
+		}
+		w.reload(c.from, c.to)
+		w.figures(map[string]string{"svc.config_reload_errors": fmt.Sprint(i + 1), "svc.config_reloads": "0"})
+		if err := os.WriteFile(w.path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first, s1 := w.connect(conns, "a")
+	const feed = `{"Name":"feed","Aim":30`
+	w.reload(feed, `{"Name":"notes","Aim":30,"GiveUp":60,"Credit":5,"Effect":"unsafe","DedupScope":"all"},`+feed)
+	w.figures(map[string]string{"svc.config_reloads": "1", "svc.downstream_requests.notes.completed": "0"})
+	ask := func(class, more string) (*peer, *peer) {
+		c := w.dial()
+		c.say(strings.Replace(opening("b"), "c=feed", "c="+class+more, 1))
+		s := await(t, conns)
+		s.line()
+		return c, s
+	}
+	// One that may have run is not repeated, and not refused either.
+	c, s := ask("notes", "")
+	s.Close()
+	equal(t, "not to be repeated", "ERR", c.line())
+	w.rewrite(`{"Name":"feed"`, `{"Name":"later"`)
+	w.reload(`"AttemptsCap":6`, `"AttemptsCap":1`)
+	w.figures(map[string]string{"svc.config_reloads": "2", "svc.downstream_requests.feed.completed": "1"})
+	dropped := w.dial()
+	dropped.say(opening("c"))
+	equal(t, "dropped", "ERR SYNTAX", dropped.line())
+	c, s = ask("feed", ",again=1") // moved by another proxy, say
+	s.say("UP r\r\n")
+	equal(t, "of a connection that was open", "UP r", c.line())
+	first.say("M 1\r\n")
+	equal(t, "still relayed", "M 1", s1.line())
+	// One attempt, and it ended without having run: refused.
+	c, s = ask("later", "")
+	s.say("BUSY\r\n")
+	if l := c.line(); !strings.HasPrefix(l, "BUSY ") {
+		t.Errorf("answer %q", l)
+	}
+	w.figures(map[string]string{"svc.downstream_requests.feed.completed": "2",
+		"svc.downstream_requests.notes.failed": "1", "svc.downstream_requests.later.rejected": "1"})
+}
--- a/fleet.go
+++ b/fleet.go
@@ -236,20 +236,20 @@
 
 // learn takes a load note. Means move by a part of 32: connections of one class differ by several times.
 func (b *Balancer) learn(r *request, load float64) {
-	for _, c := range []*Class{nil, r.class} { // nil: over all classes
+	for _, c := range []string{"", r.class.Name} { // "": over all classes
 		if w, ok := b.usual[c]; ok {
 			b.usual[c] = w + (load-w)/32
 		} else {
 			b.usual[c] = load
 		}
 	}
-	b.weigh(r, load/max(b.usual[nil], 1e-12))
+	b.weigh(r, load/max(b.usual[""], 1e-12))
 }
 
 // usualLoad is what a connection of a class asks, in mean connections; all alike where no notes come.
 func (b *Balancer) usualLoad(c *Class) float64 {
-	if w := b.usual[c]; w > 0 {
-		return w / b.usual[nil]
+	if w := b.usual[c.Name]; w > 0 {
+		return w / b.usual[""]
 	}
 	return 1
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	LoadIsDelay bool
 
 	told string // the file's own word on discovery
+	file any    // the whole file, for what its successor must not lack
 }
 
 type file struct {
@@ -60,12 +61,23 @@
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
 	var f file
-	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, &f); err != nil {
+	var whole map[string]any
+	json := jsoniter.ConfigCompatibleWithStandardLibrary
+	if !json.Valid(text) {
+		return nil, fmt.Errorf("%s: not valid JSON", path)
+	} else if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("%s: not valid: %w", path, err)
+	} else if err := json.Unmarshal(text, &whole); err != nil {
+		return nil, fmt.Errorf("%s: not valid: %w", path, err)
+	}
+	if before != nil {
+		if err := lacks(before.file, whole, ""); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets}
-	c.told = f.Discovery
+	c.told, c.file = f.Discovery, whole
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -102,9 +114,15 @@
 	if c.Known, err = registry.ParseList(f.Known); err != nil {
 		return nil, fmt.Errorf("%s: known: %w", path, err)
 	}
+	if err := lacksNeeded(whole["settings"]); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("%s: settings: %w", path, err)
 	}
+	if err := errors.Join(c.Settings.Check(), twice(c.Settings.Classes)); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	var told struct {
 		FamilyInfo struct{ TellsLoad, TellsDelay bool }
 	}
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -32,7 +32,7 @@
 		p.refuse(f, min(noRoomAfter, p.set.Limits.MaxRetryAfter))
 		return
 	}
-	if c, _ := p.classOf(o.Class); !o.HasWait {
+	if c, _ := p.classOf(o); !o.HasWait {
 		o.Wait = c.GiveUp
 	}
 	f.deadline = p.loop.Now() + o.Wait
@@ -42,13 +42,18 @@
 	p.tell(p.request(f))
 }
 
-func (p *Proxy) classOf(name string) (c micafront.Class, known bool) {
+// classOf finds a request's class. One that the settings have dropped is still that of connections that were open
+// under it, wherever they come back.
+func (p *Proxy) classOf(o *Opening) (c micafront.Class, known bool) {
 	for _, c := range p.set.Classes {
-		if c.Name == name {
+		if c.Name == o.Class {
 			return c, true
 		}
 	}
-	return c, false
+	if o.MidFlow || o.Again || o.Standing != "" {
+		c, known = p.dropped[o.Class]
+	}
+	return c, known
 }
 
 func (p *Proxy) request(f *flow) micafront.Request {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -28,8 +28,9 @@
 	module   *micafront.Balancer
 	set      micafront.Settings
 	registry *registry.Client
-	delays   bool // a next hop's load line tells milliseconds a message, not load
-	sockets  int  // descriptors that may be open; 0: as many as the system gives
+	dropped  map[string]micafront.Class // no longer in the settings; open connections still have them
+	delays   bool                       // a next hop's load line tells milliseconds a message, not load
+	sockets  int                        // descriptors that may be open; 0: as many as the system gives
 	log      io.Writer
 	count    counters.Counters
 
@@ -96,7 +97,8 @@
 		return nil, fmt.Errorf("event loop: %w", err)
 	}
 	p := &Proxy{loop: loop, protocol: Text{}, module: module, set: c.Settings, sockets: c.Sockets, log: log, delays: c.LoadIsDelay,
-		flows: map[string]*flow{}, ids: map[string]*flow{}, hops: map[string]*hop{}, zones: map[string]time.Duration{}}
+		flows: map[string]*flow{}, ids: map[string]*flow{}, hops: map[string]*hop{}, zones: map[string]time.Duration{},
+		dropped: map[string]micafront.Class{}}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation,
 		Heard: p.hearList, Failed: p.listFailed}
 	if p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed); err != nil {
@@ -138,12 +140,27 @@
 	p.count.Print(w)
 }
 
-// Reload takes a configuration read again: where discovery is, and how many descriptors may be open. All else is
-// for the life of the process. It may be called from any goroutine while the proxy runs, as may Refused.
+// Reload takes a configuration read again: the settings, where discovery is, and how many descriptors may be open, all
+// in one turn. All else is for the life of the process. It may be called from any goroutine while the proxy runs, as
+// may Refused.
 func (p *Proxy) Reload(c *config.Config) error {
 	return p.loop.Post(func() {
+		actions, err := p.module.Reconfigure(p.loop.Now(), c.Settings)
+		if err != nil { // the file was checked before: nothing of it has been taken
+			p.count.ReloadErrors++
+			fmt.Fprintln(p.log, "configuration not taken:", err)
+			return
+		}
 		p.count.Reloads++
-		p.sockets = c.Sockets
+		for _, old := range p.set.Classes {
+			p.dropped[old.Name] = old
+		}
+		p.set, p.delays, p.sockets = c.Settings, c.LoadIsDelay, c.Sockets
+		for _, class := range p.set.Classes {
+			delete(p.dropped, class.Name)
+			p.count.Class(class.Name)
+		}
+		p.turn(actions)
 		fmt.Fprintf(p.log, "configuration read again: discovery at %s\n", c.Discovery)
 		p.registry.Move(c.Discovery)
 	})
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -14,10 +14,18 @@
 // entered twice.
 func (p *Proxy) tell(e micafront.Event) {
 	p.news = append(p.news, e)
+	p.turn(nil)
+}
+
+// turn carries out what the module asked for outside of an event, then hands it the events that wait.
+func (p *Proxy) turn(actions []micafront.Action) {
 	if p.turning {
 		return
 	}
 	p.turning = true
+	for _, a := range actions {
+		p.do(a)
+	}
 	for len(p.news) > 0 {
 		e := p.news[0]
 		if p.news = p.news[1:]; len(p.news) == 0 {
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -162,7 +162,7 @@
 func (p *Proxy) takeIn(f *flow, o *Opening) {
 	f.noStranger()
 	elsewhere := o.MidFlow || o.Standing != "" // such a connection comes with the id that it has
-	_, known := p.classOf(o.Class)
+	_, known := p.classOf(o)
 	switch other := p.ids[o.ID]; {
 	case !known:
 		p.count.UnknownClass++
--- a/settings.go
+++ b/settings.go
@@ -5,8 +5,54 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 )
 
+// Check tells why settings cannot be used, if so.
+func (set Settings) Check() error { return set.validate() }
+
+// adoptSettings takes settings that have been checked, and what follows from them alone.
+func (b *Balancer) adoptSettings(set Settings) {
+	b.set, b.shares, b.minMessageAim = set, map[string]*Tenant{}, 0
+	for i := range set.Tenants {
+		b.shares[set.Tenants[i].Name] = &b.set.Tenants[i]
+	}
+	// Classes that are no longer named stay here, for connections that were open under them.
+	for i := range set.Classes {
+		c := &b.set.Classes[i]
+		b.classes[c.Name] = c
+		if a := c.MessageAim; a > 0 && (b.minMessageAim == 0 || a < b.minMessageAim) {
+			b.minMessageAim = a
+		}
+	}
+}
+
+// Reconfigure takes new settings in place of those in force, or none of them. Requests keep the class that they came
+// under, and what has been learned of the fleet stays.
+func (b *Balancer) Reconfigure(now Instant, set Settings) ([]Action, error) {
+	if err := set.validate(); err != nil {
+		return nil, fmt.Errorf("micafront: %w", err)
+	}
+	b.now, b.out = max(now, b.now), nil
+	b.turnEpochs()
+	before := b.set
+	b.adoptSettings(set)
+	if set.Rules.Fall != before.Rules.Fall { // the grid of epochs is another one
+		b.lastChange = int64(time.Duration(b.lastChange) * before.Rules.Fall / set.Rules.Fall)
+		b.lastEpoch = b.epoch()
+	}
+	if set.Zone != before.Zone && b.started {
+		b.home, b.usualPart = &table{}, 0
+		ready := b.ready()
+		b.eachZone(ready, func(t *table, near []*server) { t.follow(near) })
+		b.survey(ready)
+	}
+	if set.Subscribe && !before.Subscribe && b.started {
+		b.timer(watchToken, 0)
+	}
+	return b.out, nil
+}
+
 // validate refuses settings that make no sense. It decides nothing about traffic.
 func (set *Settings) validate() error {
 	set.Classes = slices.Clone(set.Classes)
--- /dev/null
+++ b/settings_test.go
@@ -0,0 +1,54 @@
+package micafront
+
+import "testing"
+
+// New settings change the classes, the attempts and the aims; the table's history, evidence and requests under way stay.
+func TestReconfigure(t *testing.T) {
+	b := start(t, testSettings(), fleetOf(6), 1)
+	r := req(1, sec)
+	r.Deadline = 10 * sec
+	first := sentTo(b.Handle(sec, r))
+	b.Handle(2*sec, Members{Kind: Changes, Entries: []Member{{Server: "s999", StartedAt: 2 * sec, Size: 1, Zone: "z0"}}})
+	b.Handle(4*sec, Timer{}) // an epoch later
+	counts, tokens := len(b.table.counts), b.servers["s999"].tokens
+	set := testSettings()
+	set.Classes = []Class{set.Classes[1], {Name: "new", Aim: sec, GiveUp: 3 * sec, MessageAim: 50 * ms, Worth: 1, Effect: Unsafe}}
+	set.Limits.Attempts = 2
+	set.Rules.Fall = sec
+	if _, err := b.Reconfigure(4*sec, set); err != nil {
+		t.Fatal(err)
+	}
+	b.Handle(4*sec+ms, Timer{})
+	if len(b.table.counts) != counts || counts < 2 || b.servers["s999"].tokens != tokens {
+		t.Errorf("history %v, tokens %v: not as before", b.table.counts, b.servers["s999"].tokens)
+	}
+	// The old request keeps its class, safe: it is tried again; and the attempts are those of now.
+	out := b.Handle(4*sec+ms, Outcome{ID: r.ID, Server: first, Status: Timeout})
+	if len(only[Send](out)) != 1 {
+		t.Errorf("actions %v", out)
+	}
+	n := req(2, 5*sec)
+	n.Class = "new"
+	at := sentTo(b.Handle(5*sec, n))
+	if out := b.Handle(5*sec+ms, Outcome{ID: n.ID, Server: at, Status: Timeout}); len(only[Fail](out)) != 1 {
+		t.Errorf("an unsafe request that may have run: %v", out)
+	}
+	n = req(3, 5*sec)
+	n.Class = "heavy"
+	at = sentTo(b.Handle(5*sec+2*ms, n))
+	for i := range 2 {
+		out = b.Handle(5*sec+2*ms, Outcome{ID: n.ID, Server: at, Attempt: i, Status: Full})
+		at = sentTo(out)
+	}
+	if len(only[Refuse](out)) != 1 {
+		t.Errorf("after the last attempt: %v", out)
+	}
+	if b.minMessageAim != 50*ms {
+		t.Errorf("shortest aim %v", b.minMessageAim)
+	}
+	bad := set
+	bad.Classes = nil
+	if _, err := b.Reconfigure(6*sec, bad); err == nil || len(b.set.Classes) != 2 {
+		t.Errorf("no classes: %v", err)
+	}
+}
