--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -106,9 +106,11 @@
 	errs     *lockedBuffer
 	exited   chan error
 	sockets  int
-	extra    string // further settings, as JSON members that end in a comma
-	operator string // where operators call; "": nowhere
-	staff    string // where they found it
+	extra    string     // further settings, as JSON members that end in a comma
+	env      []string   // further variables
+	hopConns chan *peer // of the next hops, where a test has them from here
+	operator string     // where operators call; "": nowhere
+	staff    string     // where they found it
 }
 
 type lockedBuffer struct {
@@ -172,18 +174,37 @@
 		"MaxRetryAfter":1,"MaxOpen":100000,"RetryAfter":true,"MayCancel":true},"Invariants":{
 		"AnswerSlack":0.016,"AskEvery":1,"Cold":8.9,"ColdFrom":0.3,"DrainGrace":3,"Fall":1,
 		"OverloadFactor":3}}}`, w.discovery.addr, w.operator, w.sockets, known, w.extra))
-	w.cmd.Stderr = w.errs
-	if err := w.cmd.Start(); err != nil {
-		t.Fatal(err)
+	w.cmd.Env = append(w.cmd.Env, w.env...)
+	w.run()
+	return w
+}
+
+// again starts the program once more with all else the same; change may add to its environment.
+func (w *world) again(env ...string) *world {
+	w.t.Helper()
+	next := *w
+	next.errs, next.exited = &lockedBuffer{}, make(chan error, 1)
+	next.cmd = exec.Command(w.cmd.Path)
+	next.cmd.Env = append(append([]string{}, w.cmd.Env...), env...)
+	next.run()
+	return &next
+}
+
+// run waits until the program serves.
+func (w *world) run() {
+	w.t.Helper()
+	cmd, exited := w.cmd, w.exited
+	cmd.Stderr = w.errs
+	if err := cmd.Start(); err != nil {
+		w.t.Fatal(err)
 	}
-	go func() { w.exited <- w.cmd.Wait() }()
-	t.Cleanup(func() { w.cmd.Process.Kill() })
+	go func() { exited <- cmd.Wait() }()
+	w.t.Cleanup(func() { cmd.Process.Kill() })
 	_, rest, _ := strings.Cut(w.until("serves at "), "serves at ")
 	w.addr = strings.TrimSpace(strings.SplitN(rest, "\n", 2)[0])
 	if _, rest, ok := strings.Cut(w.errs.text(), "operators call at "); ok {
 		w.staff, _, _ = strings.Cut(rest, "\n")
 	}
-	return w
 }
 
 // program is the real program with a configuration at path, not yet started.
@@ -193,7 +214,7 @@
 		t.Fatal(err)
 	}
 	cmd = exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), childEnv+"=1", "EDGE_CONFIG="+path)
+	cmd.Env = append(os.Environ(), childEnv+"=1", "EDGE_CONFIG="+path, "TMPDIR="+t.TempDir())
 	return cmd, path
 }
 
--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"example.org/micafront/internal/config"
@@ -72,12 +71,8 @@
 	return again
 }
 
-// limit keeps the process under its limits by itself: collecting garbage is better than being killed, and a
-// refused descriptor better than one too many.
+// limit keeps the process under its limit by itself: a refused descriptor is better than one too many.
 func limit(c *config.Config) {
-	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
-	}
 	if c.Sockets > 0 {
 		var r syscall.Rlimit
 		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -319,6 +319,7 @@
 	w = start(t, list(1, true, entry(near.id, near.addr, "in_service"),
 		strings.Replace(entry(far.id, far.addr, "in_service"), `"zone":"a"`, `"zone":"b"`, 1)),
 		append(change, func(w *world) { w.extra = `"FamilyInfo":{"Mode":"pass"},` })...)
+	w.hopConns = conns
 	client, server = w.connect(conns, "key")
 	equal(t, "in the proxy's zone", near.addr, server.LocalAddr().String())
 	astray = w.dial()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,8 @@
 	// its figure is the milliseconds that a message takes there now.
 	LoadIsDelay bool
 
+	TempDir string // for what two processes on one machine share; "": none
+
 	told string // the file's own word on discovery
 	file any    // the whole file, for what its successor must not lack
 }
@@ -77,6 +79,7 @@
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets}
+	c.TempDir = env("TMPDIR")
 	c.told, c.file = f.Discovery, whole
 	for _, v := range []struct {
 		name string
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -176,6 +176,19 @@
 	}
 }
 
+// WriteWith sends b, which must not be empty, over a Unix socket, with a copy of a descriptor at its first byte.
+func (c *Conn) WriteWith(b []byte, fd int) error {
+	n, err := unix.SendmsgN(c.fd, b, unix.UnixRights(fd), nil, unix.MSG_DONTWAIT)
+	if err != nil {
+		return os.NewSyscallError("sendmsg", err)
+	}
+	c.Write(b[n:])
+	return nil
+}
+
+// FD is the descriptor, to look at.
+func (c *Conn) FD() int { return c.fd }
+
 func (c *Conn) send(b []byte) (sent int, err error) {
 	for sent < len(b) {
 		n, err := unix.Write(c.fd, b[sent:])
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -101,14 +101,16 @@
 	accept func() (more bool)
 	waits  bool // to accept in a later turn
 	addr   string
-	Room   func() bool // whether one more may be accepted; nil: always
+
+	resting bool        // others accept from the same queue
+	Room    func() bool // whether one more may be accepted; nil: always
 }
 
 // acceptTurn bounds what one turn accepts: those who connected before are read in between.
 const acceptTurn = 16
 
 func (ln *Listener) turn() {
-	if !ln.waits && ln.accept() {
+	if !ln.waits && !ln.resting && ln.accept() {
 		ln.later(0)
 	}
 }
@@ -130,14 +132,30 @@
 // Listen accepts connections at addr and hands each to open, which names its handler.
 func (l *Loop) Listen(addr string, open func(*Conn) Handler, failed func(error)) (*Listener, error) {
 	fd, bound, err := socket.TCPSocket("tcp", addr, true, []socket.Option[int]{
-		{SetSockOpt: socket.SetReuseAddr, Opt: 1}}, nil)
+		{SetSockOpt: socket.SetReuseAddr, Opt: 1}, {SetSockOpt: socket.SetReuseport, Opt: 1}}, nil)
 	if err != nil {
 		return nil, fmt.Errorf("listen %s: %w", addr, err)
 	}
 	if sa, err := unix.Getsockname(fd); err == nil {
 		bound = socket.SockaddrToTCPOrUnixAddr(sa)
 	}
-	ln := &Listener{loop: l, fd: fd, addr: bound.String()}
+	return l.listen(fd, bound.String(), open, failed)
+}
+
+// Inherit accepts connections on a listening descriptor that another process has opened.
+func (l *Loop) Inherit(fd int, open func(*Conn) Handler, failed func(error)) (*Listener, error) {
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return nil, os.NewSyscallError("getsockname", err)
+	}
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return nil, os.NewSyscallError("setnonblock", err)
+	}
+	return l.listen(fd, socket.SockaddrToTCPOrUnixAddr(sa).String(), open, failed)
+}
+
+func (l *Loop) listen(fd int, addr string, open func(*Conn) Handler, failed func(error)) (*Listener, error) {
+	ln := &Listener{loop: l, fd: fd, addr: addr}
 	ln.accept = func() bool {
 		for range acceptTurn {
 			if ln.Room != nil && !ln.Room() {
@@ -178,6 +196,26 @@
 // Addr is where the listener listens.
 func (ln *Listener) Addr() string { return ln.addr }
 
+// FD is the descriptor, for a successor.
+func (ln *Listener) FD() int { return ln.fd }
+
+// Rest leaves the queue to others who have the same descriptor, or takes it up again.
+func (ln *Listener) Rest(on bool) {
+	if ln.resting != on && ln.loop.listeners[ln.fd] == ln {
+		ln.resting = on
+		ln.later(0)
+	}
+}
+
+// Leave listens no more. What waits in the queue is left to others who have the same descriptor.
+func (ln *Listener) Leave() {
+	if ln.loop.listeners[ln.fd] == ln {
+		delete(ln.loop.listeners, ln.fd)
+		_ = ln.loop.poller.Delete(ln.fd) // else it would stay, for as long as others have the descriptor
+		_ = unix.Close(ln.fd)
+	}
+}
+
 // Close takes what still waits in the queue, then listens no more.
 func (ln *Listener) Close() {
 	if ln.loop.listeners[ln.fd] != ln {
@@ -186,9 +224,16 @@
 	ln.Room = nil
 	for ln.accept() {
 	}
-	delete(ln.loop.listeners, ln.fd)
-	_ = ln.loop.poller.Delete(ln.fd)
-	_ = unix.Close(ln.fd)
+	ln.Leave()
+}
+
+// Adopt serves a stream socket that is already connected.
+func (l *Loop) Adopt(fd int, h Handler) (*Conn, error) {
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return nil, os.NewSyscallError("setnonblock", err)
+	}
+	c := &Conn{loop: l, fd: fd, h: h, writable: true}
+	return c, c.add()
 }
 
 // Dial starts a connection. It never blocks: the handler hears Opened or Closed later. An error means that
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,154 @@
+// Package handover passes a listening descriptor and a text from one process to the next over a Unix socket, and then
+// keeps both in touch. It knows nothing of what the text says.
+package handover
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"path/filepath"
+	"time"
+
+	"example.org/micafront/internal/evloop"
+	"golang.org/x/sys/unix"
+)
+
+// maxText bounds what a process may be handed.
+const maxText = 16 << 20
+
+// takeTime is how long the successor waits for all of it. The old process answers from its loop within milliseconds;
+// without an answer the successor starts on its own, and has seconds left for that.
+const takeTime = 2 * time.Second
+
+// Path names the socket of the process that serves as name at addr, "" where there is no folder for it.
+func Path(dir, name, addr string) string {
+	if dir == "" {
+		return ""
+	}
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s|%s", name, addr)
+	return filepath.Join(dir, fmt.Sprintf("micafront-%016x.sock", h.Sum64()))
+}
+
+// near gives an address for a socket at path, whose length addresses do not bear: its folder by descriptor.
+func near(path string) (addr *unix.SockaddrUnix, done func(), err error) {
+	if len(path) < 100 {
+		return &unix.SockaddrUnix{Name: path}, func() {}, nil
+	}
+	dir, err := unix.Open(filepath.Dir(path), unix.O_PATH|unix.O_DIRECTORY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, os.NewSyscallError("open", err)
+	}
+	name := fmt.Sprintf("/proc/self/fd/%d/%s", dir, filepath.Base(path))
+	return &unix.SockaddrUnix{Name: name}, func() { _ = unix.Close(dir) }, nil
+}
+
+// SameUser tells whether the process at the other end is this user's.
+func SameUser(fd int) bool {
+	c, err := unix.GetsockoptUcred(fd, unix.SOL_SOCKET, unix.SO_PEERCRED)
+	return err == nil && int(c.Uid) == os.Getuid()
+}
+
+// Take asks the process behind path for its place. It gives the open socket to it, the listening descriptor and the
+// text. An error means that nobody gives anything: the caller starts on its own.
+func Take(path string) (link, listener int, text []byte, err error) {
+	link, listener = -1, -1
+	defer func() {
+		if err != nil {
+			_ = unix.Close(link)
+			_ = unix.Close(listener)
+		}
+	}()
+	addr, done, err := near(path)
+	if err != nil {
+		return link, listener, nil, err
+	}
+	defer done()
+	if link, err = unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0); err != nil {
+		return link, listener, nil, os.NewSyscallError("socket", err)
+	}
+	end := time.Now().Add(takeTime)
+	limit := unix.NsecToTimeval(int64(takeTime))
+	_ = unix.SetsockoptTimeval(link, unix.SOL_SOCKET, unix.SO_SNDTIMEO, &limit)
+	if err = unix.Connect(link, addr); err != nil {
+		return link, listener, nil, os.NewSyscallError("connect", err)
+	}
+	if !SameUser(link) {
+		return link, listener, nil, errors.New("the socket is another user's")
+	}
+	buf, rights := make([]byte, 64<<10), make([]byte, unix.CmsgSpace(4*4))
+	for !bytes.HasSuffix(text, []byte("\n")) {
+		left := time.Until(end)
+		if left <= 0 || len(text) > maxText {
+			return link, listener, nil, errors.New("not handed over in time")
+		}
+		limit = unix.NsecToTimeval(int64(max(left, time.Millisecond)))
+		_ = unix.SetsockoptTimeval(link, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &limit)
+		n, rn, _, _, rerr := unix.Recvmsg(link, buf, rights, unix.MSG_CMSG_CLOEXEC)
+		if rerr == unix.EINTR {
+			continue
+		}
+		if rerr != nil {
+			return link, listener, nil, os.NewSyscallError("recvmsg", rerr)
+		}
+		if n == 0 {
+			return link, listener, nil, errors.New("the old process went away")
+		}
+		for _, fd := range descriptors(rights[:rn]) {
+			if listener >= 0 {
+				_ = unix.Close(fd)
+				continue
+			}
+			listener = fd
+		}
+		text = append(text, buf[:n]...)
+	}
+	if on, err := unix.GetsockoptInt(listener, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on != 1 {
+		return link, listener, nil, errors.New("no listening descriptor came")
+	}
+	return link, listener, text, nil
+}
+
+func descriptors(rights []byte) (all []int) {
+	messages, err := unix.ParseSocketControlMessage(rights)
+	if err != nil {
+		return nil
+	}
+	for _, m := range messages {
+		if fds, err := unix.ParseUnixRights(&m); err == nil {
+			all = append(all, fds...)
+		}
+	}
+	return all
+}
+
+// Offer waits at path for a successor. What an earlier process left there is taken away.
+func Offer(loop *evloop.Loop, path string, open func(*evloop.Conn) evloop.Handler) (*evloop.Listener, error) {
+	addr, done, err := near(path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	if err = unix.Bind(fd, addr); err == nil {
+		_ = os.Chmod(path, 0o600)
+		err = unix.Listen(fd, 8)
+	}
+	if err != nil {
+		_ = unix.Close(fd)
+		return nil, os.NewSyscallError("bind", err)
+	}
+	ln, err := loop.Inherit(fd, open, func(error) {})
+	if err != nil {
+		_ = unix.Close(fd)
+	}
+	return ln, err
+}
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -18,7 +18,9 @@
 )
 
 // room tells whether more than that many descriptors are left.
-func (p *Proxy) room(kept int) bool { return p.sockets == 0 || p.loop.Open()+kept <= p.sockets }
+func (p *Proxy) room(kept int) bool {
+	return p.sockets == 0 || p.loop.Open()+p.others()+kept <= p.sockets
+}
 
 // noRoomAfter is when a client may come again that met a proxy with no room.
 const noRoomAfter = time.Second
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"os"
 	"slices"
 	"time"
 
@@ -25,6 +26,7 @@
 	return p.loop.Post(func() {
 		if !p.stopping {
 			p.stopping, p.stoppedAt = true, p.loop.Now()
+			p.tellStanding()
 			p.leave()
 		}
 	})
@@ -69,6 +71,10 @@
 	}
 	p.sendAway(p.loop.Now() - since)
 	if p.stopping && p.stopped(p.loop.Now()-p.stoppedAt) {
+		p.tellStanding()
+		if p.offer != nil {
+			_ = os.Remove(p.path)
+		}
 		p.printNow(p.log)
 		_ = p.loop.Stop()
 		return
@@ -111,7 +117,11 @@
 	now := p.loop.Now()
 	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
 	if p.closedAt == 0 && (quiet && len(p.flows) == 0 || past >= stopLast) {
-		p.listener.Close()
+		if p.succeeded() {
+			p.listener.Leave()
+		} else {
+			p.listener.Close()
+		}
 		p.closedAt = now
 	}
 	// What the listener's queue still held has been accepted by its Close, but is yet to be read and answered.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 	registry *registry.Client
 	dropped  map[string]micafront.Class // no longer in the settings; open connections still have them
 	delays   bool                       // a next hop's load line tells milliseconds a message, not load
+	memoryMB int                        // 0: no limit
 	sockets  int                        // descriptors that may be open; 0: as many as the system gives
 	log      io.Writer
 	count    counters.Counters
@@ -38,6 +39,7 @@
 	turning bool
 
 	strangers
+	succession
 	flows   map[string]*flow // by the id that the module knows
 	ids     map[string]*flow // by the id that the client gave
 	lastID  uint64
@@ -57,6 +59,7 @@
 // hop is a next hop: its entry in the transport map, and how long its messages take.
 type hop struct {
 	id, addr, zone string
+	entry          registry.Entry
 	samples        []time.Duration
 	late           bool          // told to the module as slow
 	told           time.Duration // when it last told by itself how long its messages take
@@ -101,7 +104,15 @@
 		dropped: map[string]micafront.Class{}}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation,
 		Heard: p.hearList, Failed: p.listFailed}
-	if p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed); err != nil {
+	p.memoryMB = c.MemoryMB
+	p.limitMemory()
+	inherited, will, link := p.inherit(c)
+	if inherited >= 0 {
+		p.listener, err = loop.Inherit(inherited, p.accept, p.acceptFailed)
+	} else {
+		p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed)
+	}
+	if err != nil {
 		return nil, err
 	}
 	p.listener.Room = func() bool { return p.room(keptSockets) }
@@ -113,8 +124,10 @@
 	for _, class := range c.Settings.Classes {
 		p.count.Class(class.Name)
 	}
-	p.hearList(c.Known, micafront.SavedList)
+	p.begin(c, will)
 	p.sweep()
+	p.descend(link, will)
+	p.offerPlace()
 	return p, nil
 }
 
@@ -155,7 +168,8 @@
 		for _, old := range p.set.Classes {
 			p.dropped[old.Name] = old
 		}
-		p.set, p.delays, p.sockets = c.Settings, c.LoadIsDelay, c.Sockets
+		p.set, p.delays, p.sockets, p.memoryMB = c.Settings, c.LoadIsDelay, c.Sockets, c.MemoryMB
+		p.limitMemory()
 		for _, class := range p.set.Classes {
 			delete(p.dropped, class.Name)
 			p.count.Class(class.Name)
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -77,6 +77,12 @@
 
 // hearList takes the transport map's news.
 func (p *Proxy) hearList(l registry.List, kind micafront.ListKind) {
+	p.mapHops(l, kind)
+	p.tell(l.Members(kind))
+}
+
+// mapHops brings the next hops' addresses up to it.
+func (p *Proxy) mapHops(l registry.List, kind micafront.ListKind) {
 	if kind == micafront.Changes {
 		p.count.ListChanges++
 	} else {
@@ -100,12 +106,12 @@
 		if e.HostPort != "" {
 			h.addr = e.HostPort
 		}
-		h.zone = e.Zone
+		h.zone, h.entry = e.Zone, e
+		h.entry.HostPort = h.addr
 		if e.Lifecycle == registry.Terminated {
 			delete(p.hops, e.ID)
 		}
 	}
-	p.tell(l.Members(kind))
 }
 
 func (p *Proxy) listFailed(err error) {
--- /dev/null
+++ b/internal/proxy/succeed.go
@@ -0,0 +1,338 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"example.org/micafront"
+	"example.org/micafront/internal/config"
+	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/handover"
+	"example.org/micafront/internal/registry"
+	jsoniter "github.com/json-iterator/go"
+	"golang.org/x/sys/unix"
+)
+
+// Succession: a process of the same name and address takes over while this one still serves. From the handing over
+// to the old one's end both keep in touch, so that rules and limits see one proxy.
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// bequest is what the old process hands over, beside the listening descriptor.
+type bequest struct {
+	Discovery string
+	List      jsoniter.RawMessage // in discovery's form
+	Module    micafront.State
+	Dropped   map[string]micafront.Class
+	Open      []string // ids that clients gave
+}
+
+// beat is what both processes tell each other from then on, a line each.
+type beat struct {
+	Open    int               `json:"open"` // descriptors of connections
+	Serving bool              `json:"serving"`
+	Stood   map[uint64]string `json:"stood,omitempty"` // at a stop: where clients' connections stand
+}
+
+const (
+	beatEvery = 100 * time.Millisecond
+	// A successor that says nothing for so long does not serve, for all that is known, and this process accepts
+	// again; one that says nothing for lostAfter is given up.
+	silentHeir = time.Second
+	lostAfter  = 10 * time.Second
+	// ownDescriptors are another process's that are no connections: loop, listeners, standard files.
+	ownDescriptors = 14
+)
+
+// kin is the link to the process before this one (elder) or after it (heir).
+type kin struct {
+	p       *Proxy
+	conn    *evloop.Conn
+	elder   bool
+	line    []byte
+	heardAt time.Duration
+	open    int
+	serving bool
+	ids     map[string]bool
+}
+
+type succession struct {
+	path        string           // where a successor asks; "": nowhere
+	offer       *evloop.Listener // nil where none is open
+	elder, heir *kin
+	beating     bool
+}
+
+// inherit takes over from a process that serves at the same address, if one does. Without a listener in return the
+// caller starts on its own.
+func (p *Proxy) inherit(c *config.Config) (listener int, b *bequest, link int) {
+	p.path = handover.Path(c.TempDir, c.Name, c.Listen)
+	if p.path == "" {
+		return -1, nil, -1
+	}
+	link, listener, text, err := handover.Take(p.path)
+	if err != nil {
+		if !errors.Is(err, os.ErrNotExist) && !errors.Is(err, unix.ECONNREFUSED) {
+			fmt.Fprintln(p.log, "nothing is handed over:", err)
+		}
+		return -1, nil, -1
+	}
+	b = &bequest{}
+	if err := json.Unmarshal(text, b); err != nil {
+		fmt.Fprintln(p.log, "what was handed over cannot be read, starting without it:", err)
+		b = nil
+	}
+	return listener, b, link
+}
+
+// begin starts the module: where the old process is, or with the known list alone.
+func (p *Proxy) begin(c *config.Config, b *bequest) {
+	if b == nil {
+		p.hearList(c.Known, micafront.SavedList)
+		return
+	}
+	p.dropped = map[string]micafront.Class{}
+	for name, class := range b.Dropped {
+		p.dropped[name] = class
+	}
+	for _, class := range c.Settings.Classes {
+		delete(p.dropped, class.Name)
+	}
+	list, err := registry.ParseList(b.List)
+	var actions []micafront.Action
+	if err == nil {
+		actions, err = p.module.Resume(p.loop.Now(), b.Module)
+	}
+	if err != nil {
+		fmt.Fprintln(p.log, "what was handed over is not taken over:", err)
+		p.hearList(c.Known, micafront.SavedList)
+		return
+	}
+	if p.registry.Generation = list.Generation; b.Discovery != c.Discovery {
+		p.registry.Generation = 0 // generations of two discoveries do not compare
+	}
+	p.mapHops(list, micafront.SavedList)
+	p.turn(actions)
+}
+
+// descend keeps in touch with the old process, whose link this is.
+func (p *Proxy) descend(link int, b *bequest) {
+	if link < 0 {
+		return
+	}
+	k := &kin{p: p, elder: true, heardAt: p.loop.Now(), ids: map[string]bool{}}
+	if b != nil {
+		for _, id := range b.Open {
+			k.ids[id] = true
+		}
+	}
+	conn, err := p.loop.Adopt(link, k)
+	if err != nil {
+		fmt.Fprintln(p.log, "no link to the old process:", err)
+		_ = unix.Close(link)
+		return
+	}
+	k.conn, p.elder = conn, k
+	p.limitMemory()
+	p.keepInTouch()
+}
+
+// offerPlace waits for a successor.
+func (p *Proxy) offerPlace() {
+	p.withdraw()
+	if p.path == "" {
+		return
+	}
+	var err error
+	if p.offer, err = handover.Offer(p.loop, p.path, p.succeed); err != nil {
+		fmt.Fprintln(p.log, "no place is offered to a successor:", err)
+	}
+}
+
+func (p *Proxy) withdraw() {
+	if p.offer != nil {
+		p.offer.Leave()
+		p.offer = nil
+	}
+}
+
+// succeed hands everything to a process that asks. A fresh one wins over one that does not serve yet.
+func (p *Proxy) succeed(c *evloop.Conn) evloop.Handler {
+	k := &kin{p: p, conn: c, heardAt: p.loop.Now()}
+	if !handover.SameUser(c.FD()) || p.heir != nil && p.heir.serving {
+		c.Close()
+		return k
+	}
+	if p.heir != nil {
+		p.heir.conn.Close()
+	}
+	list := registry.List{Generation: p.registry.Generation, Reset: true, Instances: []registry.Entry{}}
+	for _, h := range p.hopsInOrder() {
+		list.Instances = append(list.Instances, h.entry)
+	}
+	b := bequest{Discovery: p.registry.Addr, Module: p.module.State(), Dropped: p.dropped}
+	for id := range p.ids {
+		b.Open = append(b.Open, id)
+	}
+	text, err := json.Marshal(list)
+	if err == nil {
+		b.List = text
+		text, err = json.Marshal(b)
+	}
+	if err == nil {
+		err = c.WriteWith(append(text, '\n'), p.listener.FD())
+	}
+	if err != nil {
+		fmt.Fprintln(p.log, "not handed over:", err)
+		c.Close()
+		return k
+	}
+	fmt.Fprintln(p.log, "a successor has asked for this process's place")
+	p.heir = k
+	p.limitMemory()
+	p.keepInTouch()
+	return k
+}
+
+// keepInTouch tells the other processes what this one holds, for as long as there are any.
+func (p *Proxy) keepInTouch() {
+	if !p.beating {
+		p.beating = true
+		p.beatTurn()
+	}
+}
+
+func (p *Proxy) beatTurn() {
+	if p.beating = p.elder != nil || p.heir != nil; !p.beating {
+		return
+	}
+	p.tellKin(beat{Open: p.loop.Open(), Serving: true})
+	now := p.loop.Now()
+	if k := p.heir; k != nil && now-k.heardAt > lostAfter {
+		k.conn.Close()
+		k.Closed(errors.New("silent"))
+	} else if k != nil && now-k.heardAt > silentHeir {
+		p.listener.Rest(false)
+	}
+	p.loop.After(beatEvery, p.beatTurn)
+}
+
+func (p *Proxy) tellKin(b beat) {
+	text, err := json.Marshal(b)
+	if err != nil {
+		return
+	}
+	for _, k := range []*kin{p.elder, p.heir} {
+		if k != nil && k.conn.Pending() < 1<<20 {
+			k.conn.Write(append(text, '\n'))
+		}
+	}
+}
+
+// tellStanding lets the successor know where this process's connections stand: their packets come to it next.
+func (p *Proxy) tellStanding() {
+	if p.heir != nil {
+		p.tellKin(beat{Open: p.loop.Open(), Serving: true, Stood: p.module.Standing()})
+	}
+}
+
+// succeeded tells that a successor serves from the same queue.
+func (p *Proxy) succeeded() bool {
+	return p.heir != nil && p.heir.serving && p.loop.Now()-p.heir.heardAt <= silentHeir
+}
+
+// others is how many descriptors the other processes hold.
+func (p *Proxy) others() int {
+	n := 0
+	for _, k := range []*kin{p.elder, p.heir} {
+		if k != nil {
+			n += k.open + ownDescriptors
+		}
+	}
+	return n
+}
+
+// openThere tells whether a client's id is that of a request open at another process.
+func (p *Proxy) openThere(id string) bool { return p.elder != nil && p.elder.ids[id] }
+
+// limitMemory makes collecting garbage come before being killed; two processes share what there is.
+func (p *Proxy) limitMemory() {
+	if p.memoryMB <= 0 {
+		return
+	}
+	limit := int64(p.memoryMB) << 20 * 3 / 4
+	if p.elder != nil || p.heir != nil {
+		limit /= 2
+	}
+	debug.SetMemoryLimit(limit)
+}
+
+// Opened and the methods below are evloop's Handler.
+func (k *kin) Opened()  {}
+func (k *kin) Drained() {}
+
+func (k *kin) Data(b []byte) {
+	k.line = append(k.line, b...)
+	for {
+		i := bytes.IndexByte(k.line, '\n')
+		if i < 0 {
+			if len(k.line) > 1<<20 {
+				k.conn.Close()
+				k.Closed(errors.New("overlong"))
+			}
+			return
+		}
+		var said beat
+		err := json.Unmarshal(k.line[:i], &said)
+		k.line = k.line[i+1:]
+		if err != nil {
+			k.conn.Close()
+			k.Closed(err)
+			return
+		}
+		k.hear(said)
+	}
+}
+
+func (k *kin) hear(b beat) {
+	p := k.p
+	k.heardAt, k.open = p.loop.Now(), max(b.Open, 0)
+	if k.elder {
+		p.module.Stood(b.Stood)
+		return
+	}
+	if b.Serving && p.heir == k {
+		if !k.serving {
+			k.serving = true
+			p.withdraw() // the place to ask is the successor's now
+			fmt.Fprintln(p.log, "the successor serves")
+		}
+		p.listener.Rest(true)
+	}
+}
+
+func (k *kin) Ended() {
+	k.conn.Close()
+	k.Closed(nil)
+}
+
+// Closed ends the kinship: an old process has gone, or a successor has, and this one goes on.
+func (k *kin) Closed(error) {
+	p := k.p
+	switch {
+	case p.elder == k:
+		p.elder = nil
+	case p.heir == k:
+		p.heir = nil
+		fmt.Fprintln(p.log, "the successor has gone, this process goes on")
+		p.listener.Rest(false)
+		if !p.stopping {
+			p.offerPlace()
+		}
+	}
+	p.limitMemory()
+}
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -166,7 +166,7 @@
 	switch other := p.ids[o.ID]; {
 	case !known:
 		p.count.UnknownClass++
-	case other != nil && !elsewhere:
+	case (other != nil || p.openThere(o.ID)) && !elsewhere:
 		p.count.SameID++
 	case len(f.in) > 0 && !elsewhere:
 		p.count.Overtalked++
--- /dev/null
+++ b/state.go
@@ -0,0 +1,214 @@
+package micafront
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// State is what a successor on the same node must know to decide alike. Its times are the fleet's clock's, which all
+// processes share. It holds no requests: those are their own process's to the end.
+type State struct {
+	StartedAt             Instant
+	LastEpoch, LastChange int64
+	Dirty, Snapped        bool
+	UsualPart             float64
+	Table                 TableState
+	Zoned                 map[string]TableState
+	Servers               []ServerState
+	Zones                 map[string]SuspicionState
+	Sends                 float64
+	SendsAt, RateSince    Instant
+	Gate                  float64
+	Usual                 map[string]float64
+	Groups                map[uint64]float64
+	Seen                  map[uint64]string // where clients' connections stood
+}
+
+// TableState is a table: its history, and its slots' owners as indices into Servers.
+type TableState struct {
+	Counts []int
+	Owner  []int
+	Unit   float64
+}
+
+// SuspicionState is the failures since the last success.
+type SuspicionState struct {
+	Fails   int
+	RetryAt Instant
+}
+
+// ServerState is the evidence on a server.
+type ServerState struct {
+	ID, Zone         string
+	Cell             int
+	Phase            Phase
+	Size             float64
+	Suspicion        SuspicionState
+	Started, BrokeAt Instant
+	Crashed          bool
+	Load, Tokens     float64
+	LoadAt, TokensAt Instant
+}
+
+// State tells a successor what it must know.
+func (b *Balancer) State() State {
+	s := State{StartedAt: b.startedAt, LastEpoch: b.lastEpoch, LastChange: b.lastChange, Dirty: b.listDirty,
+		Snapped: b.snapped, UsualPart: b.usualPart, Zoned: map[string]TableState{}, Zones: map[string]SuspicionState{},
+		Sends: b.sends, SendsAt: b.sendsAt, RateSince: b.rateSince, Gate: b.gate, Usual: maps.Clone(b.usual),
+		Groups: maps.Clone(b.crowd.count), Seen: map[uint64]string{}}
+	index := map[*server]int{}
+	// Owners may be gone from the list, until the next epoch.
+	all := append(slices.Collect(maps.Values(b.servers)), b.table.owner...)
+	for _, t := range b.zoned {
+		all = append(all, t.owner...)
+	}
+	for _, v := range all {
+		if _, known := index[v]; known {
+			continue
+		}
+		index[v] = len(s.Servers)
+		s.Servers = append(s.Servers, ServerState{ID: v.id, Zone: v.zone, Cell: v.cell, Phase: v.phase, Size: v.size,
+			Suspicion: SuspicionState{v.fails, v.retryAt}, Started: v.started, BrokeAt: v.brokeAt, Crashed: v.crashed,
+			Load: v.load, LoadAt: v.loadAt, Tokens: v.tokens, TokensAt: v.tokensAt})
+	}
+	save := func(t *table) TableState {
+		owner := make([]int, len(t.owner))
+		for i, v := range t.owner {
+			owner[i] = index[v]
+		}
+		return TableState{slices.Clone(t.counts), owner, t.unit}
+	}
+	s.Table = save(&b.table)
+	for zone, t := range b.zoned {
+		s.Zoned[zone] = save(t)
+	}
+	for zone, z := range b.zones {
+		s.Zones[zone] = SuspicionState{z.fails, z.retryAt}
+	}
+	for _, m := range []map[uint64]*server{b.seen[1], b.seen[0]} {
+		for client, v := range m {
+			s.Seen[client] = v.id
+		}
+	}
+	maps.Copy(s.Seen, b.Standing())
+	return s
+}
+
+// Standing tells where this process's open connections stand, by client.
+func (b *Balancer) Standing() map[uint64]string {
+	out := map[uint64]string{}
+	for _, r := range b.requests {
+		if r.open && r.at != nil && !r.moved {
+			out[r.client] = r.at.id
+		}
+	}
+	return out
+}
+
+// Stood takes another process's word on where clients' connections stand.
+func (b *Balancer) Stood(at map[uint64]string) {
+	if !b.set.PassThrough {
+		return
+	}
+	for client, id := range at {
+		if s := b.servers[id]; s != nil {
+			b.seen[0][client] = s
+		}
+	}
+}
+
+// Resume begins where another process on the same node is, in place of a first Members. State that makes no sense
+// changes nothing.
+func (b *Balancer) Resume(now Instant, s State) ([]Action, error) {
+	if b.started {
+		return nil, errors.New("already started")
+	}
+	sane := func(x ...float64) bool {
+		return !slices.ContainsFunc(x, func(f float64) bool { return !(f >= -1e12 && f <= 1e12) })
+	}
+	far := now + 2*b.set.Rules.Cold // no time of another process's can lie beyond
+	timely := func(t ...Instant) bool {
+		return !slices.ContainsFunc(t, func(t Instant) bool { return t < 0 || t > far })
+	}
+	servers := make([]*server, len(s.Servers))
+	byID := map[string]*server{}
+	for i, v := range s.Servers {
+		if v.ID == "" || !sane(v.Size, v.Load, v.Tokens) || v.Size <= 0 || v.Phase < Ready || v.Phase > Gone ||
+			v.Suspicion.Fails < 0 || !timely(v.Started, v.BrokeAt, v.LoadAt, v.TokensAt, v.Suspicion.RetryAt) {
+			return nil, fmt.Errorf("state: server %q makes no sense", v.ID)
+		}
+		servers[i] = &server{id: v.ID, hash: keyID(v.ID), phase: v.Phase, size: v.Size, zone: v.Zone, cell: v.Cell,
+			suspicion: suspicion{fails: v.Suspicion.Fails, retryAt: v.Suspicion.RetryAt}, started: v.Started,
+			brokeAt: v.BrokeAt, crashed: v.Crashed, load: math.Max(v.Load, leastLoad), loadAt: v.LoadAt,
+			tokens: v.Tokens, tokensAt: v.TokensAt}
+		if other := byID[v.ID]; other == nil || other.phase == Gone {
+			byID[v.ID] = servers[i]
+		}
+	}
+	load := func(t TableState) (*table, error) {
+		out := &table{unit: t.Unit}
+		n := len(t.Owner)
+		if n == 0 {
+			return out, nil
+		}
+		if len(t.Counts) == 0 || t.Counts[len(t.Counts)-1] != n || !sane(t.Unit) || t.Unit <= 0 ||
+			slices.Min(t.Counts) < 1 {
+			return nil, errors.New("state: a table makes no sense")
+		}
+		for _, i := range t.Owner {
+			if i < 0 || i >= len(servers) {
+				return nil, errors.New("state: a slot has no owner")
+			}
+			out.owner = append(out.owner, servers[i])
+		}
+		out.counts = slices.Clone(t.Counts)
+		return out, nil
+	}
+	whole, err := load(s.Table)
+	if err != nil {
+		return nil, err
+	}
+	zoned := map[string]*table{}
+	for zone, t := range s.Zoned {
+		if zoned[zone], err = load(t); err != nil {
+			return nil, err
+		}
+	}
+	if !sane(s.UsualPart, s.Sends, s.Gate) || s.Sends < 0 || s.Gate <= 0 || !timely(s.StartedAt, s.SendsAt, s.RateSince) {
+		return nil, errors.New("state: a figure makes no sense")
+	}
+	for _, load := range s.Usual {
+		if !sane(load) || load < 0 {
+			return nil, errors.New("state: a load makes no sense")
+		}
+	}
+	b.now, b.out = max(now, b.now), nil
+	b.started, b.startedAt = true, s.StartedAt
+	b.lastEpoch, b.lastChange, b.listDirty, b.snapped = s.LastEpoch, s.LastChange, s.Dirty, s.Snapped
+	b.table, b.zoned, b.servers, b.usualPart = *whole, zoned, byID, s.UsualPart
+	if t := zoned[b.set.Zone]; t != nil {
+		b.home = t
+	}
+	for zone, z := range s.Zones {
+		b.zones[zone] = &suspicion{fails: max(z.Fails, 0), retryAt: min(z.RetryAt, far)}
+	}
+	b.sends, b.sendsAt, b.rateSince, b.gate = s.Sends, s.SendsAt, s.RateSince, min(s.Gate, 1)
+	maps.Copy(b.usual, s.Usual)
+	for group, n := range s.Groups {
+		if n = math.Floor(n); n > 0 && n < 2*maxCrowd {
+			b.crowd.count[group] = n
+			b.crowd.total += n
+			b.crowd.squares += n * n
+		}
+	}
+	b.pressedAt = b.now
+	b.survey(b.ready())
+	b.Stood(s.Seen)
+	if b.set.Subscribe {
+		b.do(Watch{On: true}) // at once: it is one node's call, and the list is as old as the handing over
+	}
+	return b.out, nil
+}
