--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -1,6 +1,7 @@
 package evloop
 
 import (
+	"errors"
 	"io"
 	"os"
 
@@ -33,6 +34,8 @@
 	finish   bool // our sending ends once out is empty
 	finished bool
 	closed   bool
+	rights   bool  // descriptors may come along
+	came     []int // those that did
 }
 
 func (c *Conn) add() error {
@@ -112,7 +115,7 @@
 		if c.closed || c.paused || c.ended || !c.readable {
 			return
 		}
-		n, err := unix.Read(c.fd, c.loop.buf)
+		n, err := c.receive(c.loop.buf)
 		switch {
 		case err == unix.EINTR:
 		case err == unix.EAGAIN:
@@ -123,7 +126,7 @@
 			c.ended = true
 			c.h.Ended()
 		default:
-			if n < len(c.loop.buf) && !c.hup {
+			if n < len(c.loop.buf) && !c.hup && !c.rights {
 				c.readable = false // the kernel has no more; what comes later is a new edge
 			}
 			c.h.Data(c.loop.buf[:n])
@@ -176,9 +179,15 @@
 	}
 }
 
-// WriteWith sends b, which must not be empty, over a Unix socket, with a copy of a descriptor at its first byte.
-func (c *Conn) WriteWith(b []byte, fd int) error {
-	n, err := unix.SendmsgN(c.fd, b, unix.UnixRights(fd), nil, unix.MSG_DONTWAIT)
+// errPending means that what was written before has yet to go.
+var errPending = errors.New("output waits")
+
+// WriteWith sends b, which must not be empty, over a Unix socket, with copies of descriptors at its first byte.
+func (c *Conn) WriteWith(b []byte, fd ...int) error {
+	if c.closed || len(c.out) > 0 {
+		return errPending
+	}
+	n, err := unix.SendmsgN(c.fd, b, unix.UnixRights(fd...), nil, unix.MSG_DONTWAIT)
 	if err != nil {
 		return os.NewSyscallError("sendmsg", err)
 	}
@@ -186,6 +195,55 @@
 	return nil
 }
 
+// TakeRights has descriptors received that come along with bytes.
+func (c *Conn) TakeRights() { c.rights = true }
+
+// Came gives the first n descriptors that came along and have not been given yet, nil where there are not as many.
+// Those of a message have come when its first byte has.
+func (c *Conn) Came(n int) (fds []int) {
+	if len(c.came) >= n {
+		fds, c.came = c.came[:n:n], c.came[n:]
+	}
+	return fds
+}
+
+func (c *Conn) receive(b []byte) (int, error) {
+	if !c.rights {
+		return unix.Read(c.fd, b)
+	}
+	oob := make([]byte, unix.CmsgSpace(8*4))
+	n, on, _, _, err := unix.Recvmsg(c.fd, b, oob, unix.MSG_CMSG_CLOEXEC|unix.MSG_DONTWAIT)
+	if on > 0 {
+		c.came = append(c.came, Descriptors(oob[:on])...)
+	}
+	return n, err
+}
+
+// Descriptors reads those that came with a message.
+func Descriptors(oob []byte) (all []int) {
+	messages, err := unix.ParseSocketControlMessage(oob)
+	if err != nil {
+		return nil
+	}
+	for _, m := range messages {
+		if fds, err := unix.ParseUnixRights(&m); err == nil {
+			all = append(all, fds...)
+		}
+	}
+	return all
+}
+
+// Waiting is the output that waits for the kernel.
+func (c *Conn) Waiting() []byte { return c.out }
+
+// Yield ends the connection for this process alone: another one has a copy of its descriptor.
+func (c *Conn) Yield() {
+	if !c.closed {
+		_ = c.loop.poller.Delete(c.fd) // closing would not do: the poller goes by what is open, not by descriptor
+		c.Close()
+	}
+}
+
 // FD is the descriptor, to look at.
 func (c *Conn) FD() int { return c.fd }
 
@@ -254,6 +312,10 @@
 	c.closed, c.out = true, nil
 	delete(c.loop.conns, c.fd)
 	_ = unix.Close(c.fd) // leaves the poller by itself
+	for _, fd := range c.came {
+		_ = unix.Close(fd)
+	}
+	c.came = nil
 }
 
 // Abort ends the connection with a reset.
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -227,13 +227,18 @@
 	ln.Leave()
 }
 
-// Adopt serves a stream socket that is already connected.
+// Adopt serves a stream socket that is already connected, or closes it.
 func (l *Loop) Adopt(fd int, h Handler) (*Conn, error) {
-	if err := unix.SetNonblock(fd, true); err != nil {
-		return nil, os.NewSyscallError("setnonblock", err)
-	}
+	err := unix.SetNonblock(fd, true)
 	c := &Conn{loop: l, fd: fd, h: h, writable: true}
-	return c, c.add()
+	if err == nil {
+		err = c.add()
+	}
+	if err != nil {
+		_ = unix.Close(fd)
+		return nil, err
+	}
+	return c, nil
 }
 
 // Dial starts a connection. It never blocks: the handler hears Opened or Closed later. An error means that
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -96,7 +96,7 @@
 		if n == 0 {
 			return link, listener, nil, errors.New("the old process went away")
 		}
-		for _, fd := range descriptors(rights[:rn]) {
+		for _, fd := range evloop.Descriptors(rights[:rn]) {
 			if listener >= 0 {
 				_ = unix.Close(fd)
 				continue
@@ -111,19 +111,6 @@
 	return link, listener, text, nil
 }
 
-func descriptors(rights []byte) (all []int) {
-	messages, err := unix.ParseSocketControlMessage(rights)
-	if err != nil {
-		return nil
-	}
-	for _, m := range messages {
-		if fds, err := unix.ParseUnixRights(&m); err == nil {
-			all = append(all, fds...)
-		}
-	}
-	return all
-}
-
 // Offer waits at path for a successor. What an earlier process left there is taken away.
 func Offer(loop *evloop.Loop, path string, open func(*evloop.Conn) evloop.Handler) (*evloop.Listener, error) {
 	addr, done, err := near(path)
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -69,7 +69,9 @@
 	if p.leavingAt != since {
 		return
 	}
-	p.sendAway(p.loop.Now() - since)
+	if !p.stopping || !p.handOn() {
+		p.sendAway(p.loop.Now() - since)
+	}
 	if p.stopping && p.stopped(p.loop.Now()-p.stoppedAt) {
 		p.tellStanding()
 		if p.offer != nil {
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"example.org/micafront"
@@ -36,6 +37,19 @@
 	Open    int               `json:"open"` // descriptors of connections
 	Serving bool              `json:"serving"`
 	Stood   map[uint64]string `json:"stood,omitempty"` // at a stop: where clients' connections stand
+	Relay   *relayed          `json:"relay,omitempty"` // at a stop: one of them, its two descriptors along
+}
+
+// relayed is a connection that stands, as its next process needs it.
+type relayed struct {
+	ClientID string
+	Open     micafront.Open
+	Addr     string // of the next hop
+	Tail     []byte // of the next hop's, the start of a message
+	ToClient []byte // not yet taken by the kernel
+	ToHop    []byte
+	Asked    time.Duration
+	Last     Sign
 }
 
 const (
@@ -50,14 +64,16 @@
 
 // kin is the link to the process before this one (elder) or after it (heir).
 type kin struct {
-	p       *Proxy
-	conn    *evloop.Conn
-	elder   bool
-	line    []byte
-	heardAt time.Duration
-	open    int
-	serving bool
-	ids     map[string]bool
+	p        *Proxy
+	conn     *evloop.Conn
+	elder    bool
+	line     []byte
+	heardAt  time.Duration
+	open     int
+	serving  bool
+	deaf     bool // does not take connections over
+	refusals int  // steps in a row in which it was too busy to
+	ids      map[string]bool
 }
 
 type succession struct {
@@ -131,9 +147,11 @@
 		}
 	}
 	conn, err := p.loop.Adopt(link, k)
+	if err == nil {
+		conn.TakeRights()
+	}
 	if err != nil {
 		fmt.Fprintln(p.log, "no link to the old process:", err)
-		_ = unix.Close(link)
 		return
 	}
 	k.conn, p.elder = conn, k
@@ -240,6 +258,87 @@
 	}
 }
 
+// handOn gives the connections that stand to the successor. It tells whether those that are left will go that way.
+func (p *Proxy) handOn() bool {
+	if !p.succeeded() || p.heir.deaf {
+		return false
+	}
+	for len(p.open) > 0 {
+		f := p.open[len(p.open)-1]
+		a := f.attempt
+		r := &relayed{ClientID: f.clientID, Addr: a.hop.addr, Tail: a.tail, ToClient: f.client.Waiting(),
+			ToHop: a.conn.Waiting(), Asked: f.asked, Last: a.last}
+		var known bool
+		if r.Open, known = p.module.Connection(f.id); !known {
+			// The module has never heard of its next hop. It is relayed on all the same.
+			r.Open = micafront.Open{Request: micafront.Request{Class: f.class}, Server: a.hop.id}
+		}
+		text, err := json.Marshal(beat{Open: p.loop.Open(), Serving: true, Relay: r})
+		if err == nil {
+			err = p.heir.conn.WriteWith(append(text, '\n'), f.client.FD(), a.conn.FD())
+		}
+		if err != nil {
+			// Full, most likely, and read on within a step of this turn; if not, clients are moved after all.
+			p.heir.refusals++
+			p.heir.deaf = p.heir.refusals > maxRefusals
+			return !p.heir.deaf
+		}
+		p.heir.refusals = 0
+		p.count.HandedOn++
+		client := f.client
+		f.client = nil
+		client.Yield()
+		a.conn.Yield()
+		f.part(micafront.Cancelled, nil)
+	}
+	return true
+}
+
+// maxRefusals is how many steps in a row a successor may be too busy to take connections over.
+const maxRefusals = 10
+
+// takeOver goes on with a connection that the old process relayed.
+func (k *kin) takeOver(r *relayed) {
+	p := k.p
+	fds := k.conn.Came(2)
+	if fds == nil {
+		return
+	}
+	p.lastID++
+	f := &flow{p: p, id: strconv.FormatUint(p.lastID, 36), class: r.Open.Class, clientID: r.ClientID,
+		figures: p.count.Class(r.Open.Class), answered: true, attempts: 1, asked: r.Asked, place: len(p.open)}
+	h := p.hops[r.Open.Server]
+	if h == nil {
+		h = &hop{id: r.Open.Server, addr: r.Addr}
+	}
+	a := &attempt{f: f, hop: h, sentAt: p.loop.Now(), up: true, wrote: true, tail: r.Tail, last: r.Last}
+	var err error
+	if f.client, err = p.loop.Adopt(fds[0], senderSide{f}); err == nil {
+		if a.conn, err = p.loop.Adopt(fds[1], a); err != nil {
+			f.client.Close()
+		}
+	}
+	if err != nil { // no memory for one more in the poller
+		fmt.Fprintln(p.log, "a connection is not taken over:", err)
+		return
+	}
+	p.count.TakenOver++
+	f.attempt = a
+	p.open = append(p.open, f)
+	p.flows[f.id], p.ids[f.clientID] = f, f
+	r.Open.ID = f.id
+	p.tell(r.Open)
+	if f.place < 0 {
+		return // moved at once, as off a next hop that drains
+	}
+	if a.conn.Write(r.ToHop); a.conn.Pending() > maxHeld {
+		f.client.Pause()
+	}
+	if f.client.Write(r.ToClient); f.client.Pending() > maxHeld {
+		a.conn.Pause()
+	}
+}
+
 // succeeded tells that a successor serves from the same queue.
 func (p *Proxy) succeeded() bool {
 	return p.heir != nil && p.heir.serving && p.loop.Now()-p.heir.heardAt <= silentHeir
@@ -303,6 +402,9 @@
 	k.heardAt, k.open = p.loop.Now(), max(b.Open, 0)
 	if k.elder {
 		p.module.Stood(b.Stood)
+		if b.Relay != nil {
+			k.takeOver(b.Relay)
+		}
 		return
 	}
 	if b.Serving && p.heir == k {
--- a/state.go
+++ b/state.go
@@ -108,6 +108,15 @@
 	return out
 }
 
+// Connection tells of an open connection what a successor has to be told of it as an Open.
+func (b *Balancer) Connection(id string) (Open, bool) {
+	r := b.requests[id]
+	if r == nil || !r.open || r.at == nil {
+		return Open{}, false
+	}
+	return Open{Request: r.Request, Server: r.at.id}, true
+}
+
 // Stood takes another process's word on where clients' connections stand.
 func (b *Balancer) Stood(at map[uint64]string) {
 	if !b.set.PassThrough {
