Hear out at a stop who has begun a line; give each caller 50 ms before eviction

Tests: TestStopHearsOutWhoHasBegun (fails without the change), TestClientsThatLeave (no request, attempt or descriptor left at any stage), TestPieces.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -18,7 +18,8 @@
 }
 
 const (
-	maxCallers = 8               // at a time; beyond that the eldest without an answer goes
+	maxCallers = 8 // at a time; beyond that the eldest goes, once it has had time to say what it wants
+	sayTime    = 50 * time.Millisecond
 	callTime   = 5 * time.Second // for one call, its answer read
 )
 
@@ -34,8 +35,16 @@
 func Listen(loop *evloop.Loop, addr string, p Proxy) (*Server, error) {
 	s := &Server{loop: loop, proxy: p}
 	var err error
-	s.listener, err = loop.Listen(addr, s.accept, func(error) {})
-	return s, err
+	if s.listener, err = loop.Listen(addr, s.accept, func(error) {}); err != nil {
+		return nil, err
+	}
+	s.listener.Room = s.room
+	return s, nil
+}
+
+// room tells whether one more may call now; else it waits in the kernel, for sayTime at most.
+func (s *Server) room() bool {
+	return s.callers.Len() < maxCallers || s.loop.Now()-s.callers.Front().Value.(*caller).since >= sayTime
 }
 
 // Addr is where the operators call.
@@ -47,11 +56,12 @@
 	parser parser
 	place  *list.Element
 	limit  *evloop.Timer
+	since  time.Duration
 	told   bool // has its answer
 }
 
 func (s *Server) accept(c *evloop.Conn) evloop.Handler {
-	k := &caller{s: s, conn: c}
+	k := &caller{s: s, conn: c, since: s.loop.Now()}
 	k.place = s.callers.PushBack(k)
 	k.limit = s.loop.After(callTime, k.end)
 	for s.callers.Len() > maxCallers { // whoever is stuck loses to who is fresh
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -118,7 +118,7 @@
 func (p *Proxy) stopped(past time.Duration) bool {
 	now := p.loop.Now()
 	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
-	if p.closedAt == 0 && (quiet && len(p.flows) == 0 || past >= stopLast) {
+	if p.closedAt == 0 && (quiet && p.settled() || past >= stopLast) {
 		if p.succeeded() {
 			p.listener.Leave()
 		} else {
@@ -127,5 +127,16 @@
 		p.closedAt = now
 	}
 	// What the listener's queue still held has been accepted by its Close, but is yet to be read and answered.
-	return p.closedAt != 0 && (len(p.flows) == 0 && now-p.closedAt >= stopStep || past >= stopLast+stopQuiet)
+	return p.closedAt != 0 && (p.settled() && now-p.closedAt >= stopStep || past >= stopLast+stopQuiet)
+}
+
+// settled tells that nobody waits for this process: no request, none whose first message is on its way, and nobody who
+// has yet to read a last message.
+func (p *Proxy) settled() bool {
+	for e := p.strangers.waiting.Front(); e != nil; e = e.Next() {
+		if e.Value.(*flow).pings == 0 { // who only checked readiness asks for no more
+			return false
+		}
+	}
+	return len(p.flows) == 0 && p.strangers.leaving.Len() == 0
 }
