Say why a stop does not end ahead of the kill: measured, and taken out again

Cause: what is held at the kill goes on as mid=1, what the proxy ends does not. Taken out; the constant now says so (stopLast, leave.go).

--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -15,8 +15,10 @@
 	stopArrivals = 700 * time.Millisecond  // arrivals go on for up to 0.4 s after the signal
 	stopQuiet    = 300 * time.Millisecond  // and none must have come for this long
 	stopMoved    = 2300 * time.Millisecond // clients are moved until then, or until the longest deadline
-	stopLast     = 3300 * time.Millisecond
-	stopStep     = 50 * time.Millisecond
+	// Not earlier where deadlines are shorter, though the kill then comes earlier too: where packets pass through,
+	// connections that are held when the kill comes go on by another proxy, and those that the proxy ends do not.
+	stopLast = 3300 * time.Millisecond
+	stopStep = 50 * time.Millisecond
 )
 
 // Stop ends the proxy in an orderly way: what still arrives is accepted and answered, requests in flight are
