Test that a successor's descriptors count here, and that a silent one is not waited for

Both held already; each test fails without others() in room (admit.go), or without Rest(false) in beatTurn (succeed.go). No change to the program.

--- a/cmd/micafront/upgrade_test.go
+++ b/cmd/micafront/upgrade_test.go
@@ -208,3 +208,47 @@
 	f.Close()
 	l.Close()
 }
+
+// A successor's descriptors count as this process's own. One that serves and falls silent leaves the clients to this
+// process again, and so does one that goes.
+func TestSuccessorInTouch(t *testing.T) {
+	w, conns := one(t, withStaff)
+	await(t, w.watches)
+	left, _ := filepath.Glob(filepath.Join(w.temp(), "*.sock"))
+	if len(left) != 1 {
+		t.Fatalf("sockets %v", left)
+	}
+	ask := func() *net.UnixConn {
+		c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: left[0]})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		buf := make([]byte, 1<<20)
+		for n := 0; n == 0 || buf[n-1] != '\n'; { // all that is handed over
+			m, err := c.Read(buf[n:])
+			if n += m; err != nil {
+				t.Fatal(err)
+			}
+		}
+		return c
+	}
+	big := ask()
+	fmt.Fprintln(big, `{"open":980}`) // of 1024, and 14 more that are no connections
+	for end := time.Now().Add(patience); ; {
+		c := w.dial()
+		l := c.ask(conns)
+		if strings.HasPrefix(l, "BUSY ") {
+			break
+		}
+		if c.Close(); l != "UP r" || time.Now().After(end) { // not heard yet
+			t.Fatalf("answer %q", l)
+		}
+	}
+	big.Close()
+	w.until("this process goes on")
+	w.connect(conns, "a")
+	fmt.Fprintln(ask(), `{"serving":true}`)
+	w.until("the successor serves")
+	w.connect(conns, "b") // taken from the queue once the successor has been silent for a second
+}
