Route by class, key, group, zone, listener and fields in a pure package

Cause: the proxy knows one undivided fleet; operators want to say which connections go to which servers under which policy.

Change: internal/routing compiles routes, pools and policies into a table that is probed by hash, one probe for each form of condition; splits stable by key; owners of next hops that hold a cold one back when it changes pools; journeys through fallback pools within one budget of attempts; a diff over the exact partition of the match space. Property tests hold it against a plain table, and the diff against decisions.

--- /dev/null
+++ b/internal/routing/owners.go
@@ -0,0 +1,260 @@
+package routing
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"example.org/micafront"
+)
+
+// Entry is one entry of a server list, with what only pools look at.
+type Entry struct {
+	micafront.Member
+	MachineType string
+}
+
+func (e *Entry) hop() Hop {
+	size := e.Size
+	if size == 0 {
+		size = 1
+	}
+	return Hop{ID: e.Server, Zone: e.Zone, MachineType: e.MachineType, Cell: e.Cell, Size: size}
+}
+
+// Heard is what one pool is to be told of a list.
+type Heard struct {
+	Pool    int
+	Members micafront.Members
+}
+
+// Owners knows which pool has each next hop: at any time one at most. A next hop that changes pools while it is cold
+// is in neither until it is warm: what its former pool has sent it still counts in its budget, and the new pool
+// would begin another.
+type Owners struct {
+	set   *Set
+	order []int // pools, the highest precedence first
+	cold  time.Duration
+	hops  map[string]*owned
+	// Notes are what changed hands or belongs to nobody, in words, since they were last taken.
+	Notes []string
+}
+
+type owned struct {
+	entry Entry
+	pool  int               // -1: none
+	until micafront.Instant // held back until then; 0: it is not
+}
+
+// NewOwners begins with no next hop known. cold is how long a next hop is cold after its start.
+func NewOwners(set *Set, cold time.Duration) *Owners {
+	o := &Owners{hops: map[string]*owned{}}
+	o.take(set, cold)
+	return o
+}
+
+func (o *Owners) take(set *Set, cold time.Duration) {
+	o.set, o.cold, o.order = set, cold, nil
+	for i := range set.Pools {
+		o.order = append(o.order, i)
+	}
+	slices.SortFunc(o.order, func(a, b int) int { return byPrecedence(&set.Pools[a], &set.Pools[b]) })
+}
+
+// choose finds the pool for a next hop, and whether more than one would take it.
+func (o *Owners) choose(h Hop) (pool int, several bool) {
+	pool = -1
+	for _, i := range o.order {
+		if o.set.Pools[i].Select.Takes(h) {
+			if pool >= 0 {
+				return pool, true
+			}
+			pool = i
+		}
+	}
+	return pool, false
+}
+
+// Pool is the pool that has a next hop now; -1: none.
+func (o *Owners) Pool(id string) int {
+	if v := o.hops[id]; v != nil && v.until == 0 {
+		return v.pool
+	}
+	return -1
+}
+
+func (o *Owners) name(pool int) string {
+	if pool < 0 {
+		return "no pool"
+	}
+	return fmt.Sprintf("pool %q", o.set.Pools[pool].Name)
+}
+
+func (o *Owners) note(form string, args ...any) {
+	o.Notes = append(o.Notes, fmt.Sprintf(form, args...))
+}
+
+// TakeNotes gives the notes and forgets them.
+func (o *Owners) TakeNotes() []string {
+	notes := o.Notes
+	o.Notes = nil
+	return notes
+}
+
+// Hear divides a list, or changes to it, among the pools; every pool hears of it, were it nothing.
+func (o *Owners) Hear(now micafront.Instant, kind micafront.ListKind, version int64, entries []Entry) []Heard {
+	out := make([]Heard, len(o.set.Pools))
+	for i := range out {
+		out[i] = Heard{i, micafront.Members{Kind: kind, Version: version}}
+	}
+	if kind != micafront.Changes {
+		named := make(map[string]bool, len(entries))
+		for _, e := range entries {
+			named[e.Server] = true
+		}
+		maps.DeleteFunc(o.hops, func(id string, _ *owned) bool { return !named[id] })
+	}
+	for _, e := range entries {
+		o.place(now, e, func(pool int, m micafront.Member) {
+			out[pool].Members.Entries = append(out[pool].Members.Entries, m)
+		}, kind == micafront.Changes)
+	}
+	return out
+}
+
+// place finds the pool of one entry and tells it, and the one that has lost it.
+func (o *Owners) place(now micafront.Instant, e Entry, tell func(int, micafront.Member), tellLoss bool) {
+	pool, several := o.choose(e.hop())
+	v := o.hops[e.Server]
+	if e.Phase == micafront.Gone {
+		delete(o.hops, e.Server)
+		if v != nil && v.pool >= 0 {
+			pool = v.pool
+		}
+		if pool >= 0 {
+			tell(pool, e.Member)
+		}
+		return
+	}
+	if v == nil {
+		v = &owned{pool: pool}
+		o.hops[e.Server] = v
+		if pool < 0 {
+			o.note("next hop %s belongs to no pool", e.Server)
+		} else if several {
+			o.note("next hop %s fits several pools, %s has it", e.Server, o.name(pool))
+		}
+	}
+	v.entry = e
+	if former := v.pool; former != pool {
+		v.pool = pool
+		if former >= 0 && v.until == 0 && tellLoss {
+			gone := e.Member
+			gone.Phase = micafront.Gone
+			tell(former, gone)
+		}
+		v.until = o.heldUntil(now, e)
+		switch {
+		case v.until > 0 && pool >= 0:
+			o.note("next hop %s goes from %s to %s, once it is warm", e.Server, o.name(former), o.name(pool))
+		default:
+			o.note("next hop %s goes from %s to %s", e.Server, o.name(former), o.name(pool))
+		}
+	} else if v.until > 0 {
+		v.until = o.heldUntil(now, e) // it may have started anew meanwhile
+	}
+	if pool >= 0 && v.until == 0 {
+		tell(pool, e.Member)
+	}
+}
+
+func (o *Owners) heldUntil(now micafront.Instant, e Entry) micafront.Instant {
+	if warm := e.StartedAt + o.cold; e.StartedAt > 0 && warm > now {
+		return warm
+	}
+	return 0
+}
+
+// Due gives pools the next hops that have become warm, and says when to look again; 0: not until something is heard.
+func (o *Owners) Due(now micafront.Instant) (out []Heard, next micafront.Instant) {
+	for _, id := range slices.Sorted(maps.Keys(o.hops)) {
+		switch v := o.hops[id]; {
+		case v.until == 0:
+		case v.until <= now:
+			v.until = 0
+			if v.pool >= 0 {
+				o.note("next hop %s is warm, %s has it", id, o.name(v.pool))
+				out = append(out, Heard{v.pool, micafront.Members{Kind: micafront.Changes, Entries: []micafront.Member{v.entry.Member}}})
+			}
+		case next == 0 || v.until < next:
+			next = v.until
+		}
+	}
+	return out, next
+}
+
+// Entries are the next hops as a pool knows them, by id.
+func (o *Owners) Entries(pool int) []micafront.Member {
+	var out []micafront.Member
+	for _, id := range slices.Sorted(maps.Keys(o.hops)) {
+		if v := o.hops[id]; v.pool == pool && v.until == 0 {
+			out = append(out, v.entry.Member)
+		}
+	}
+	return out
+}
+
+// Reconfigure goes over to another set. heirs says which pool of the new set goes on for each one of the old, -1
+// where none does. Every pool of the new set hears a whole list of what it has now.
+func (o *Owners) Reconfigure(now micafront.Instant, set *Set, cold time.Duration, heirs []int) []Heard {
+	o.take(set, cold)
+	out := make([]Heard, len(set.Pools))
+	for i := range out {
+		out[i] = Heard{i, micafront.Members{Kind: micafront.FullList}}
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.hops)) {
+		v := o.hops[id]
+		if former := v.pool; former >= 0 {
+			v.pool = heirs[former]
+			if v.pool < 0 { // what the pool that is gone has sent it counts on
+				if pool, _ := o.choose(v.entry.hop()); pool >= 0 {
+					v.pool = pool
+					v.until = o.heldUntil(now, v.entry)
+					o.note("next hop %s goes to %s", id, o.name(pool))
+				}
+			}
+		}
+		o.place(now, v.entry, func(pool int, m micafront.Member) {
+			out[pool].Members.Entries = append(out[pool].Members.Entries, m)
+		}, false)
+	}
+	return out
+}
+
+// Heirs matches the pools of an old set to those of a new one: by name, or by the names that a new pool was known
+// under. A pool that was split goes on in the first of its heirs by name; the others begin anew. -1: it is gone.
+func Heirs(old, new *Set) []int {
+	out := make([]int, len(old.Pools))
+	taken := map[int]bool{}
+	for i, p := range old.Pools {
+		out[i] = slices.IndexFunc(new.Pools, func(n Pool) bool { return n.Name == p.Name })
+		if out[i] >= 0 {
+			taken[out[i]] = true
+		}
+	}
+	byName := make([]int, len(new.Pools))
+	for i := range byName {
+		byName[i] = i
+	}
+	slices.SortFunc(byName, func(a, b int) int { return strings.Compare(new.Pools[a].Name, new.Pools[b].Name) })
+	for i, p := range old.Pools {
+		for _, n := range byName {
+			if out[i] < 0 && !taken[n] && slices.Contains(new.Pools[n].Was, p.Name) {
+				out[i], taken[n] = n, true
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,613 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/micafront"
+	. "example.org/micafront/internal/testkit"
+	"pgregory.net/rapid"
+)
+
+var (
+	classes = []string{"feed", "notes", "chat"}
+	texts   = []string{"a", "ab", "abc", "b", "ba", "c"}
+	space   = Space{Classes: classes, Listeners: []string{"main", "lan"}, Zones: []string{"thies", "dakar"}}
+)
+
+func subset(t *rapid.T, from []string, most int, label string) []string {
+	return rapid.SliceOfNDistinct(rapid.SampledFrom(from), 0, most, rapid.ID[string]).Draw(t, label)
+}
+
+func condition(t *rapid.T, label string) Strings {
+	if rapid.IntRange(0, 2).Draw(t, label) > 0 {
+		return Strings{}
+	}
+	return Strings{Exact: subset(t, append([]string{""}, texts...), 2, label+" exact"), Prefix: subset(t, texts, 2, label+" prefix")}
+}
+
+// drawSet gives a random set over few texts, so that rules meet often.
+func drawSet(t *rapid.T) Set {
+	set := Set{Pools: []Pool{{Name: "p0"}, {Name: "p1"}, {Name: "p2", MaxOpen: rapid.IntRange(0, 1).Draw(t, "limit")}},
+		Policies: []Policy{{Name: "q", Attempts: rapid.IntRange(1, 2).Draw(t, "attempts"), Fallback: []string{"p1"}}}}
+	for i := range rapid.IntRange(0, 6).Draw(t, "routes") {
+		r := Route{Name: "r" + strconv.Itoa(i), Precedence: rapid.IntRange(0, 2).Draw(t, "precedence")*10 + i,
+			Policy: rapid.SampledFrom([]string{"", "q"}).Draw(t, "policy"),
+			Match: Match{Class: subset(t, classes, 2, "class"), Zone: subset(t, space.Zones, 1, "zone"),
+				Listener: subset(t, space.Listeners, 1, "listener"), Key: condition(t, "key"), Group: condition(t, "group")}}
+		if f := condition(t, "field"); !f.Any() {
+			r.Match.Fields = map[string]Strings{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "name"): f}
+		}
+		a := rapid.IntRange(0, Whole).Draw(t, "part")
+		b := rapid.IntRange(0, Whole-a).Draw(t, "part")
+		r.To = []Part{{"p1", a}, {"p0", b}, {"p2", Whole - a - b}}
+		set.Routes = append(set.Routes, r)
+	}
+	if len(set.Routes) > 0 && rapid.Bool().Draw(t, "default") {
+		set.Default = "r0"
+	}
+	return set
+}
+
+func drawLine(t *rapid.T) map[string]string {
+	text := rapid.OneOf(rapid.SampledFrom(append([]string{"", "abcd", "zz", "aa"}, texts...)), rapid.StringMatching("[a-c]{1,4}"))
+	l := map[string]string{}
+	for _, name := range []string{"key", "group", "x", "y"} {
+		l[name] = text.Draw(t, name)
+	}
+	l["class"] = rapid.SampledFrom(classes).Draw(t, "class")
+	l["zone"] = rapid.SampledFrom(space.Zones).Draw(t, "zone")
+	l["listener"] = rapid.SampledFrom(space.Listeners).Draw(t, "listener")
+	return l
+}
+
+func lineFor(t *Table, l map[string]string) *Line {
+	out := &Line{Class: l["class"], Key: l["key"], Group: l["group"], Zone: l["zone"], Listener: l["listener"]}
+	for _, name := range t.FieldNames {
+		out.Fields = append(out.Fields, l[name])
+	}
+	return out
+}
+
+// plainly decides by the words of the manual alone: all routes in turn, no index.
+func plainly(set *Set, l map[string]string) (route string) {
+	var best []int
+	for i := range set.Routes {
+		r := &set.Routes[i]
+		m := &r.Match
+		of := func(list []string, text string) bool { return len(list) == 0 || slices.Contains(list, text) }
+		ok := of(m.Class, l["class"]) && of(m.Zone, l["zone"]) && of(m.Listener, l["listener"]) &&
+			m.Key.Holds(l["key"]) && m.Group.Holds(l["group"])
+		rank := []int{r.Precedence, closeness(m.Key, l["key"]), closeness(m.Group, l["group"])}
+		for _, name := range []string{"x", "y"} {
+			ok = ok && m.Fields[name].Holds(l[name])
+			rank = append(rank, closeness(m.Fields[name], l[name]))
+		}
+		for _, list := range [][]string{m.Class, m.Listener, m.Zone} {
+			rank = append(rank, min(len(list), 1))
+		}
+		if ok && (best == nil || slices.Compare(rank, best) > 0) {
+			best, route = rank, r.Name
+		}
+	}
+	if best == nil {
+		return set.Default
+	}
+	return route
+}
+
+func closeness(s Strings, text string) int {
+	if s.Any() {
+		return -1
+	}
+	if slices.Contains(s.Exact, text) {
+		return 1 << 20
+	}
+	best := 0
+	for _, p := range s.Prefix {
+		if strings.HasPrefix(text, p) {
+			best = max(best, len(p))
+		}
+	}
+	return best
+}
+
+func TestTableAgreesWithThePlainOne(t *testing.T) {
+	Property(t, func(rt *rapid.T) {
+		set := drawSet(rt)
+		table, err := New(set)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		for range 20 {
+			l := drawLine(rt)
+			d, ok := table.Decide(lineFor(table, l))
+			got := ""
+			if ok {
+				got = set.Routes[d.Route].Name
+			}
+			if want := plainly(&set, l); got != want {
+				rt.Fatalf("%v goes by %q, not %q", l, got, want)
+			}
+		}
+	})
+}
+
+// What Diff predicts to change is what decides differently, on lines drawn at random and on those at the edges of
+// every cell.
+func TestDiffAgreesWithDecisions(t *testing.T) {
+	Property(t, func(rt *rapid.T) {
+		old, err := New(drawSet(rt))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		next, err := New(drawSet(rt))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		changes, err := Diff(old, next, space)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		for range 60 {
+			l := drawLine(rt)
+			var o [2]Outcome
+			for side, table := range []*Table{old, next} {
+				line := lineFor(table, l)
+				if d, ok := table.Decide(line); ok {
+					o[side] = table.outcome(d.Route, table.routes[d.Route].part(d.Place))
+				}
+			}
+			place := Place(&Line{Key: l["key"], Group: l["group"]})
+			var hits []Change
+			for _, c := range changes {
+				in := place >= c.From && place < c.From+c.PPM
+				for _, s := range c.Cell {
+					in = in && s.Holds(l[strings.TrimPrefix(s.Dim, "field ")])
+				}
+				if in {
+					hits = append(hits, c)
+				}
+			}
+			if differ := len(what(o[0], o[1])) > 0; differ != (len(hits) == 1) || len(hits) > 1 {
+				rt.Fatalf("%v at %d: differs %v, predicted by %d changes", l, place, differ, len(hits))
+			}
+			if len(hits) == 1 && (hits[0].Old != o[0] || hits[0].New != o[1]) {
+				rt.Fatalf("%v: predicted %+v -> %+v, is %+v -> %+v", l, hits[0].Old, hits[0].New, o[0], o[1])
+			}
+		}
+	})
+}
+
+// Order, names of policies' owners and spelling play no part: a set differs from itself in nothing.
+func TestDiffOfTheSame(t *testing.T) {
+	Property(t, func(rt *rapid.T) {
+		set := drawSet(rt)
+		other := set
+		other.Routes, other.Pools = slices.Clone(set.Routes), slices.Clone(set.Pools)
+		slices.Reverse(other.Routes)
+		slices.Reverse(other.Pools)
+		a, err := New(set)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		b, err := New(other)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if c, err := Diff(a, b, space); err != nil || len(c) > 0 {
+			rt.Fatalf("%+v %v", c, err)
+		}
+	})
+}
+
+// A part that grows while no other one does keeps every key that it has.
+func TestSplitIsStable(t *testing.T) {
+	Property(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(rt, "parts")
+		before := make([]Part, n)
+		left := Whole
+		for i := range before {
+			before[i] = Part{fmt.Sprint("p", i), left}
+			if i < n-1 {
+				before[i].PPM = rapid.IntRange(0, left).Draw(rt, "part")
+			}
+			left -= before[i].PPM
+		}
+		grown := rapid.IntRange(0, n-1).Draw(rt, "grown")
+		after := slices.Clone(before)
+		for i := range after {
+			if i != grown {
+				less := rapid.IntRange(0, after[i].PPM).Draw(rt, "less")
+				after[i].PPM -= less
+				after[grown].PPM += less
+			}
+		}
+		tables := [2]*Table{}
+		for i, parts := range [][]Part{before, after} {
+			set := Set{Default: "r", Routes: []Route{{Name: "r", To: parts}}}
+			for _, p := range parts {
+				set.Pools = append(set.Pools, Pool{Name: p.Pool})
+			}
+			var err error
+			if tables[i], err = New(set); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		moved := 0
+		for k := range 500 {
+			l := &Line{Key: strconv.Itoa(k)}
+			a, _ := tables[0].Decide(l)
+			b, _ := tables[1].Decide(l)
+			if a.Pool == grown && b.Pool != grown {
+				rt.Fatalf("key %d left the part that grew: %v -> %v", k, before, after)
+			}
+			if a.Pool != b.Pool {
+				moved++
+			}
+		}
+		changes, err := Diff(tables[0], tables[1], Space{})
+		if err != nil {
+			rt.Fatal(err)
+		}
+		share := 0
+		for _, c := range changes {
+			share += c.PPM
+		}
+		if got := float64(moved) / 500; got > float64(share)/Whole+0.12 || got < float64(share)/Whole-0.12 {
+			rt.Fatalf("%v of the keys moved, told were %v", got, float64(share)/Whole)
+		}
+	})
+}
+
+func TestSetIsRefused(t *testing.T) {
+	pool := []Pool{{Name: "a"}, {Name: "b"}}
+	whole := []Part{{"a", Whole}}
+	for want, set := range map[string]Set{
+		"there is no pool":                           {},
+		`pool "a" is named twice`:                    {Pools: []Pool{{Name: "a"}, {Name: "a"}}},
+		`a pool has no name`:                         {Pools: []Pool{{}}},
+		`pool "a" has a limit below 0`:               {Pools: []Pool{{Name: "a", MaxOpen: -1}}},
+		`pool "a" selects sizes from 2 to 1`:         {Pools: []Pool{{Name: "a", Select: Select{SizeFrom: 2, SizeTo: 1}}}},
+		`falls back to pool "c", which does not`:     {Pools: pool, Policies: []Policy{{Name: "q", Fallback: []string{"c"}}}},
+		`policy "q" has a figure`:                    {Pools: pool, Policies: []Policy{{Name: "q", Deadline: -1}}},
+		`goes to pool "c", which does not exist`:     {Pools: pool, Routes: []Route{{Name: "r", To: []Part{{"c", Whole}}}}},
+		`come to 50 %, not to 100 %`:                 {Pools: pool, Routes: []Route{{Name: "r", To: []Part{{"a", Whole / 2}}}}},
+		`is under policy "x", which does not exist`:  {Pools: pool, Routes: []Route{{Name: "r", To: whole, Policy: "x"}}},
+		`the default route "r" does not exist`:       {Pools: pool, Default: "r"},
+		`a further listener cannot be named "main"`:  {Pools: pool, Listeners: map[string]string{"main": ""}},
+		`both claim class "feed", no group`:          {Pools: pool, Routes: []Route{{Name: "r", To: whole, Match: Match{Class: []string{"feed"}, Group: Strings{Exact: []string{""}}}}, {Name: "s", To: whole, Match: Match{Class: []string{"feed", "x"}, Group: Strings{Exact: []string{"g", ""}}}}}},
+		`both claim every connection`:                {Pools: pool, Routes: []Route{{Name: "r", To: whole}, {Name: "s", To: whole}}},
+		`has 1048576 combinations of conditions, ov`: {Pools: pool, Routes: []Route{{Name: "r", To: whole, Match: Match{Key: many(2000), Group: many(2000)}}}},
+	} {
+		if _, err := New(set); err == nil || !sharesWords(err.Error(), want) {
+			t.Errorf("want %q, got %v", want, err)
+		}
+	}
+}
+
+func sharesWords(text, want string) bool {
+	if strings.Contains(text, want) {
+		return true
+	}
+	for _, w := range strings.Split(want, ", ") { // the order of dimensions is the table's
+		if !strings.Contains(text, strings.TrimPrefix(w, "both claim ")) {
+			return false
+		}
+	}
+	return true
+}
+
+func many(n int) Strings {
+	var s Strings
+	for i := range n {
+		s.Exact = append(s.Exact, strconv.Itoa(i))
+	}
+	return s
+}
+
+func TestUnreached(t *testing.T) {
+	to := []Part{{"a", Whole}}
+	table, err := New(Set{Pools: []Pool{{Name: "a"}}, Routes: []Route{
+		{Name: "feeds", Precedence: 5, To: to, Match: Match{Class: []string{"feed"}}},
+		{Name: "rest", Precedence: 5, To: to, Match: Match{Class: []string{"notes", "chat"}}},
+		{Name: "never", To: to, Match: Match{Group: Strings{Prefix: []string{"g"}}}},
+		{Name: "late", Precedence: 9, To: to, Match: Match{Class: []string{"chat"}, Key: Strings{Prefix: []string{"k"}}}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := table.Unreached(space)
+	if err != nil {
+		t.Fatal(err)
+	}
+	Equal(t, "unreached", map[string][]string{"never": {"feeds", "late", "rest"}}, got)
+}
+
+func entry(id, zone string, started time.Duration) Entry {
+	return Entry{Member: micafront.Member{Server: id, Zone: zone, StartedAt: started}}
+}
+
+// told are the ids in each pool's part of a list; a pool that lost one has it with a "-".
+func told(heard []Heard) map[int][]string {
+	out := map[int][]string{}
+	for _, h := range heard {
+		for _, m := range h.Members.Entries {
+			if m.Phase == micafront.Gone {
+				m.Server = "-" + m.Server
+			}
+			out[h.Pool] = append(out[h.Pool], m.Server)
+		}
+	}
+	return out
+}
+
+// A next hop that changes pools while it is cold is in neither until it is warm, so that one cold budget holds.
+func TestOwnersHoldColdNextHopsBack(t *testing.T) {
+	set := Set{Pools: []Pool{{Name: "t", Select: Select{Zones: []string{"thies"}}}, {Name: "d", Select: Select{Zones: []string{"dakar"}}}}}
+	o := NewOwners(&set, 10*time.Second)
+	now := 100 * time.Second
+	first := o.Hear(now, micafront.SavedList, 1, []Entry{entry("warm", "thies", 0), entry("cold", "thies", 95*time.Second), entry("x", "mars", 0)})
+	Equal(t, "first list", map[int][]string{0: {"warm", "cold"}}, told(first))
+	moved := []Entry{entry("warm", "dakar", 0), entry("cold", "dakar", 95*time.Second)}
+	Equal(t, "moved", map[int][]string{0: {"-warm", "-cold"}, 1: {"warm"}}, told(o.Hear(now+time.Second, micafront.Changes, 2, moved)))
+	Equal(t, "owners", []int{1, -1, -1}, []int{o.Pool("warm"), o.Pool("cold"), o.Pool("x")})
+	_, next := o.Due(now + 4*time.Second)
+	Equal(t, "looked at again", 105*time.Second, next)
+	// A list that comes before does not bring it either; one that tells of a new start holds it longer.
+	full := append(moved[:1:1], entry("cold", "dakar", 103*time.Second))
+	Equal(t, "full list", map[int][]string{1: {"warm"}}, told(o.Hear(now+4*time.Second, micafront.FullList, 3, full)))
+	due, next := o.Due(now + 5*time.Second)
+	Equal(t, "not yet", []any{0, 113 * time.Second}, []any{len(due), next})
+	due, next = o.Due(now + 13*time.Second)
+	Equal(t, "warm", []any{map[int][]string{1: {"cold"}}, time.Duration(0)}, []any{told(due), next})
+	Equal(t, "notes", []string{`next hop x belongs to no pool`, `next hop warm goes from pool "t" to pool "d"`,
+		`next hop cold goes from pool "t" to pool "d", once it is warm`, `next hop cold is warm, pool "d" has it`}, o.TakeNotes())
+}
+
+// Whatever lists and sets follow one another, no next hop is ever in two pools, and none that is cold comes to a second
+// pool before it is warm.
+func TestOwnersNeverShare(t *testing.T) {
+	const cold = 10 * time.Second
+	Property(t, func(rt *rapid.T) {
+		zones := []string{"a", "b", "c"}
+		drawPools := func() *Set {
+			set := &Set{}
+			for i := range rapid.IntRange(1, 3).Draw(rt, "pools") {
+				set.Pools = append(set.Pools, Pool{Name: fmt.Sprint("p", i), Select: Select{Zones: subset(rt, zones, 2, "zones")}})
+			}
+			return set
+		}
+		set := drawPools()
+		o := NewOwners(set, cold)
+		now := 100 * time.Second
+		holds := map[string]string{} // pool by next hop
+		last := map[string]string{}  // the last pool that had it in this life
+		started := map[string]time.Duration{}
+		apply := func(heard []Heard, whole bool) {
+			for _, h := range heard {
+				pool := set.Pools[h.Pool].Name
+				if whole {
+					for id, p := range holds {
+						if p == pool {
+							delete(holds, id)
+						}
+					}
+				}
+			}
+			for _, gone := range []bool{true, false} { // within one turn
+				for _, h := range heard {
+					pool := set.Pools[h.Pool].Name
+					for _, m := range h.Members.Entries {
+						if (m.Phase == micafront.Gone) != gone {
+							continue
+						}
+						if gone {
+							delete(holds, m.Server)
+							continue
+						}
+						if p, ok := holds[m.Server]; ok && p != pool {
+							rt.Fatalf("%s is in %s and %s", m.Server, p, pool)
+						}
+						if was := last[m.Server]; was != "" && was != pool && started[m.Server] > 0 && now < started[m.Server]+cold {
+							rt.Fatalf("%s came from %s to %s while cold", m.Server, was, pool)
+						}
+						holds[m.Server], last[m.Server] = pool, pool
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(1, 15).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 6000).Draw(rt, "ms")) * time.Millisecond
+			var entries []Entry
+			step := rapid.IntRange(0, 3).Draw(rt, "step")
+			for _, id := range subset(rt, []string{"s1", "s2", "s3"}, 3, "servers") {
+				e := entry(id, rapid.SampledFrom(zones).Draw(rt, "zone"), started[id])
+				if rapid.IntRange(0, 4).Draw(rt, "restart") == 0 && step < 2 {
+					e.StartedAt = now
+					started[id] = now
+				}
+				entries = append(entries, e)
+			}
+			switch step {
+			case 0:
+				apply(o.Hear(now, micafront.FullList, 1, entries), true)
+				for id := range last { // who is listed no more begins another life
+					if !slices.ContainsFunc(entries, func(e Entry) bool { return e.Server == id }) {
+						delete(last, id)
+					}
+				}
+			case 1:
+				apply(o.Hear(now, micafront.Changes, 1, entries), false)
+			case 2:
+				due, _ := o.Due(now)
+				apply(due, false)
+			case 3:
+				next := drawPools()
+				heirs := Heirs(set, next)
+				set = next
+				heard := o.Reconfigure(now, set, cold, heirs)
+				clear(holds)
+				apply(heard, true)
+			}
+		}
+	})
+}
+
+func TestHeirs(t *testing.T) {
+	old := Set{Pools: []Pool{{Name: "kept"}, {Name: "renamed"}, {Name: "split"}, {Name: "gone"}}}
+	next := Set{Pools: []Pool{{Name: "z", Was: []string{"split"}}, {Name: "y", Was: []string{"split"}}, {Name: "new", Was: []string{"renamed"}}, {Name: "kept", Was: []string{"gone"}}}}
+	Equal(t, "heirs", []int{3, 2, 1, -1}, Heirs(&old, &next))
+}
+
+// Whatever the pools answer, the attempts of all pools together stay within the policy, and no pool is asked twice.
+func TestJourney(t *testing.T) {
+	Property(t, func(rt *rapid.T) {
+		limit := rapid.IntRange(1, 6).Draw(rt, "limit")
+		most := rapid.IntRange(0, 6).Draw(rt, "attempts")
+		table, err := New(Set{Pools: []Pool{{Name: "a"}, {Name: "b", MaxOpen: 3}, {Name: "c", MaxWaiting: 2}},
+			Policies: []Policy{{Name: "q", Attempts: most, Fallback: []string{"c", "a", "b"}}}, Default: "r",
+			Routes: []Route{{Name: "r", Policy: "q", To: []Part{{"a", Whole}}, MaxOpen: 9}}})
+		if err != nil {
+			rt.Fatal(err)
+		}
+		uses := make([]Use, 3)
+		for i := range uses {
+			uses[i] = Use{rapid.IntRange(0, 4).Draw(rt, "open"), rapid.IntRange(0, 3).Draw(rt, "waiting")}
+		}
+		use := func(i int) Use { return uses[i] }
+		d, _ := table.Decide(&Line{Key: "k"})
+		route := Use{Open: rapid.IntRange(0, 10).Draw(rt, "open")}
+		j, verdict := table.Begin(d, route, use)
+		if (verdict == RouteFull) != (route.Open >= 9) {
+			rt.Fatalf("%v with %v on the route", verdict, route)
+		}
+		if verdict != Go {
+			return
+		}
+		safe := rapid.Bool().Draw(rt, "safe")
+		total, seen, ran := 0, map[int]bool{}, false
+		for {
+			if seen[j.Pool] || table.poolFull(j.Pool, use) {
+				rt.Fatalf("pool %d is asked twice, or full", j.Pool)
+			}
+			seen[j.Pool] = true
+			for n := rapid.IntRange(0, j.Attempts(limit)).Draw(rt, "tries"); n > 0; n-- {
+				if got := j.Number(total); got < 0 || got != j.here {
+					rt.Fatalf("attempt %d has number %d", total, got)
+				}
+				j.Sent()
+				total++
+				never := rapid.Bool().Draw(rt, "never ran")
+				ran = ran || !never
+				j.Ended(never)
+			}
+			left := time.Duration(rapid.IntRange(0, 20).Draw(rt, "left"))
+			before := j.Attempts(limit)
+			v := j.Refused(table, left, 5, limit, safe, false, use)
+			if v == Go && (left <= 5 || before == 0 || ran && !safe) {
+				rt.Fatalf("goes on with %v left, %d attempts, ran %v", left, before, ran)
+			}
+			if v != Go {
+				break
+			}
+		}
+		if total > limit || most > 0 && total > most {
+			rt.Fatalf("%d attempts of %d and %d", total, limit, most)
+		}
+	})
+}
+
+func TestJourneyTimes(t *testing.T) {
+	j := Journey{Policy: Policy{Deadline: 2_000_000, ComeBackFrom: 500_000, ComeBackTo: 800_000}}
+	Equal(t, "deadlines", []time.Duration{3 * time.Second, 1500 * time.Millisecond},
+		[]time.Duration{j.Deadline(time.Second, 60*time.Second), j.Deadline(time.Second, 1500*time.Millisecond)})
+	Equal(t, "advice", []time.Duration{500 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond},
+		[]time.Duration{j.ComeBack(0), j.ComeBack(600 * time.Millisecond), j.ComeBack(time.Minute)})
+}
+
+func TestOverlap(t *testing.T) {
+	for _, c := range []struct {
+		a, b Select
+		want bool
+	}{
+		{Select{}, Select{Zones: []string{"a"}}, true},
+		{Select{Zones: []string{"a"}}, Select{Zones: []string{"b"}}, false},
+		{Select{IDPrefixes: []string{"s-1"}}, Select{IDPrefixes: []string{"s-12", "x"}}, true},
+		{Select{IDPrefixes: []string{"s-1"}}, Select{IDPrefixes: []string{"s-2"}}, false},
+		{Select{SizeTo: 1}, Select{SizeFrom: 2}, false},
+		{Select{SizeTo: 2}, Select{SizeFrom: 2}, true},
+		{Select{Cells: []int{1, 2}, SizeTo: 0.5}, Select{Cells: []int{2}}, true},
+	} {
+		h, ok := c.a.Overlap(&c.b)
+		if ok != c.want || ok && !(c.a.Takes(h) && c.b.Takes(h)) {
+			t.Errorf("%+v and %+v: %v, %+v", c.a, c.b, ok, h)
+		}
+	}
+}
+
+func FuzzDecide(f *testing.F) {
+	table, err := New(Set{Pools: []Pool{{Name: "a"}, {Name: "b"}}, Default: "r", Routes: []Route{
+		{Name: "r", To: []Part{{"a", Whole}}},
+		{Name: "s", To: []Part{{"a", Whole / 2}, {"b", Whole / 2}}, Match: Match{Key: Strings{Prefix: []string{"k", "key"}}, Fields: map[string]Strings{"x": {Exact: []string{"1"}}}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("key1", "", "1")
+	f.Fuzz(func(t *testing.T, key, group, x string) {
+		d, ok := table.Decide(&Line{Key: key, Group: group, Fields: []string{x}})
+		want := 0
+		if strings.HasPrefix(key, "k") && x == "1" {
+			want = 1
+		}
+		if !ok || d.Route != want {
+			t.Errorf("%q %q %q goes by %d, %v", key, group, x, d.Route, ok)
+		}
+	})
+}
+
+// large is a table of n routes, each for a group's prefix and a class.
+func large(n int) *Table {
+	set := Set{Default: "r0", Pools: []Pool{{Name: "a"}, {Name: "b"}}}
+	for i := range n {
+		set.Routes = append(set.Routes, Route{Name: fmt.Sprint("r", i), To: []Part{{"a", Whole / 4}, {"b", Whole / 4 * 3}},
+			Match: Match{Class: []string{classes[i%3]}, Group: Strings{Prefix: []string{fmt.Sprintf("%06x", i)}}}})
+	}
+	t, err := New(set)
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func TestDecideAllocatesNothing(t *testing.T) {
+	table := large(1000)
+	l := &Line{Class: "feed", Group: "00000301", Key: "k"}
+	if n := testing.AllocsPerRun(100, func() { table.Decide(l) }); n != 0 {
+		t.Errorf("%v allocations a decision", n)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := large(n)
+			lines := make([]Line, 4096)
+			for i := range lines {
+				k := (i * 7919) % n
+				lines[i] = Line{Class: classes[k%3], Group: fmt.Sprintf("%06x-%d", k, i), Key: fmt.Sprint("k", i)}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				if _, ok := table.Decide(&lines[i&4095]); !ok {
+					b.Fatal("no route")
+				}
+			}
+		})
+	}
+}
