Add the site language: CUE records with units, a checker, a formatter and conversion

Cause: a site is one JSON file in which a forgotten unit, a misspelt key or a route to nothing shows only in service.

--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -25,6 +25,7 @@
 	ID          string  `json:"instanceId"`
 	HostPort    string  `json:"hostPort"`
 	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType,omitempty"`
 	Cell        int     `json:"cell"`
 	Lifecycle   string  `json:"lifecycle"`
 	Weight      float64 `json:"weight"`
--- a/internal/routing/check.go
+++ b/internal/routing/check.go
@@ -135,6 +135,15 @@
 	return n
 }
 
+// Completed is the set as it is run: without any pool there is one of all next hops, and one route to it.
+func (s Set) Completed() Set {
+	if len(s.Pools) == 0 && len(s.Routes) == 0 {
+		all := Single()
+		s.Pools, s.Routes, s.Default = all.Pools, all.Routes, all.Default
+	}
+	return s
+}
+
 // Single is the set of a proxy that knows one undivided fleet: one pool, one route, nothing limited.
 func Single() Set {
 	return Set{Pools: []Pool{{Name: "all"}}, Routes: []Route{{Name: "all", To: []Part{{Pool: "all", PPM: Whole}}}}, Default: "all"}
--- a/internal/routing/set.go
+++ b/internal/routing/set.go
@@ -15,12 +15,19 @@
 	Policies []Policy `json:"policies,omitempty"`
 	Routes   []Route  `json:"routes,omitempty"`
 	Default  string   `json:"default,omitempty"` // the route of what no other matches; "": such a request fails
+	Zones    []Zone   `json:"zones,omitempty"`   // of the site; none: any
 	// Listeners are the addresses beside the main one, by the names that matches use; the main one is "main".
 	Listeners map[string]string `json:"listeners,omitempty"`
 	// DrainOver is how long connections have to leave when their pool is gone, in microseconds.
 	DrainOver Micros `json:"drain_over_us,omitempty"`
 }
 
+// Zone is a zone of the site.
+type Zone struct {
+	Name  string `json:"name"`
+	Title string `json:"title,omitempty"`
+}
+
 // Micros is a time in whole microseconds.
 type Micros int64
 
--- /dev/null
+++ b/internal/sitelang/testdata/broken/conflict-across-files.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+proxy: zone: "dakar"
--- /dev/null
+++ b/internal/sitelang/testdata/broken/include-computed.cue
@@ -0,0 +1,3 @@
+include: ["../base.cue"]
+_dir: "x"
+include: [_dir + ".cue"]
--- /dev/null
+++ b/internal/sitelang/testdata/broken/include-not-a-list.cue
@@ -0,0 +1,1 @@
+include: "../base.cue"
--- /dev/null
+++ b/internal/sitelang/testdata/broken/key-unknown-match.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+route: x: {match: klass: ["album-feed"], to: thies: "100 %"}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/name-default-unknown.cue
@@ -0,0 +1,2 @@
+include: ["../base-no-default.cue"]
+default_route: "rests"
--- /dev/null
+++ b/internal/sitelang/testdata/broken/name-field-class.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+route: x: {match: fields: c: exact: ["album-feed"], to: thies: "100 %"}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/name-listener-unknown.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+route: x: {match: {class: ["album-notes"], listener: ["lan"]}, to: thies: "100 %"}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/policy-unused.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+policy: third: attempts: 2
--- /dev/null
+++ b/internal/sitelang/testdata/broken/range-duration-zero.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+class: x: {aim: "1 s", give_up: "0 s", worth: 1, effect: "safe"}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/route-same-any.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+route: x: {to: dakar: "100 %"}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/route-same-twice.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+route: x: {match: class: ["album-feed"], to: thies: "100 %"}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/routes-without-pool.cue
@@ -0,0 +1,2 @@
+include: ["../base-no-routes.cue"]
+route: all: to: thies: "100 %"
--- /dev/null
+++ b/internal/sitelang/testdata/broken/syntax-comment.cue
@@ -0,0 +1,3 @@
+include: ["../base.cue"]
+/* old */
+pool: x: {}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/syntax-missing-colon.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+pool x: {}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/syntax-truncated.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+route: x: {match: class: ["album-fe
--- /dev/null
+++ b/internal/sitelang/testdata/broken/syntax-two-faults.cue
@@ -0,0 +1,3 @@
+include: ["../base.cue"]
+pool: x: {max_open: }
+route: = 4
--- /dev/null
+++ b/internal/sitelang/testdata/broken/type-address-name.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+listener: lan: address: "proxy.thies.sn:8081"
--- /dev/null
+++ b/internal/sitelang/testdata/broken/type-seed.cue
@@ -0,0 +1,2 @@
+include: ["../base-no-seed.cue"]
+proxy: seed: "xyz"
--- /dev/null
+++ b/internal/sitelang/testdata/broken/unit-bare-bytes.cue
@@ -0,0 +1,2 @@
+include: ["../base-no-memory.cue"]
+proxy: memory: 192
--- /dev/null
+++ b/internal/sitelang/testdata/broken/value-for.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+for z in ["a", "b"] {team: "\(z)": {}}
--- /dev/null
+++ b/internal/sitelang/testdata/broken/value-import.cue
@@ -0,0 +1,3 @@
+import "strings"
+include: ["../base.cue"]
+default_route: strings.ToLower("REST")
--- /dev/null
+++ b/internal/sitelang/testdata/broken/value-unknown-name.cue
@@ -0,0 +1,2 @@
+include: ["../base.cue"]
+default_route: rest
--- /dev/null
+++ b/internal/sitelang/testdata/circle/b.cue
@@ -0,0 +1,2 @@
+include: ["sub/c.cue"]
+team: b: {}
--- /dev/null
+++ b/internal/sitelang/testdata/circle/sub/c.cue
@@ -0,0 +1,2 @@
+team: c: {}
+include: ["../b.cue"]
--- /dev/null
+++ b/internal/sitelang/testdata/diamond/a.cue
@@ -0,0 +1,1 @@
+include: ["left.cue", "right.cue", "l*.cue"]
--- /dev/null
+++ b/internal/sitelang/testdata/diamond/right.cue
@@ -0,0 +1,2 @@
+include: ["../diamond/../base.cue"]
+team: right: {}
