Run from routes and pools: a decision module a pool, fallback, limits, reload in one turn

Cause: all connections go to one undivided fleet.

Change: the route stage asks routing for a pool and a policy, then the pool's module. A refusal goes on to the policy's next pool at once, within one budget of attempts and one deadline. SIGHUP takes a new table whole: pools that stay or are renamed keep their modules, dropped ones let their connections leave at a stated pace. Next hops have one pool at a time; connections follow theirs. Further listeners, and upgrades that hand over every pool's state. Sites in the site language are compiled by micafront-tools, a program of its own, so that a proxy links nothing of it.

--- a/api.go
+++ b/api.go
@@ -148,6 +148,7 @@
 	MidFlow                       bool    // packets of an open connection now arrive here
 	Repeat                        bool    // marked by the client as a repeat
 	Returned                      bool    // the client was cut off or moved, and is back
+	Attempts                      int     // that it may have here; 0: as many as the limits say
 }
 
 // Open is a connection that already flows through this node, by attempt 0.
--- a/balancer.go
+++ b/balancer.go
@@ -286,7 +286,7 @@
 // try sends the next attempt, or answers where there is no place for it.
 func (b *Balancer) try(r *request) {
 	left := r.Deadline - b.now
-	if r.attempts < b.set.Limits.Attempts && left > b.set.Rules.AnswerSlack {
+	if r.attempts < b.mostAttempts(r) && left > b.set.Rules.AnswerSlack {
 		if s := b.place(r); s != nil {
 			b.send(r, s, left)
 			return
@@ -325,7 +325,7 @@
 
 func (b *Balancer) send(r *request, s *server, left time.Duration) {
 	timeout := left - b.set.Rules.AnswerSlack/2
-	if r.attempts+1 < b.set.Limits.Attempts {
+	if r.attempts+1 < b.mostAttempts(r) {
 		timeout = max(left/2, min(timeout, b.set.Limits.ConnectTimeout))
 	}
 	r.attempts++
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 
 	"example.org/micafront"
 	"example.org/micafront/internal/registry"
+	"example.org/micafront/internal/routing"
 	"example.org/micafront/internal/wire"
 	jsoniter "github.com/json-iterator/go"
 )
@@ -25,6 +25,8 @@
 	// LoadIsDelay tells what a next hop's load line means: at sites that tell of delays but not of loads
 	// its figure is the milliseconds that a message takes there now.
 	LoadIsDelay bool
+	// Routes say which connections go to which pools. A file without them has one pool of all next hops.
+	Routes *routing.Table
 
 	TempDir string // for what two processes on one machine share; "": none
 
@@ -44,6 +46,7 @@
 	} `json:"limits"`
 	Known    jsoniter.RawMessage `json:"known"`
 	Settings jsoniter.RawMessage `json:"settings"`
+	Routing  jsoniter.RawMessage `json:"routing"`
 }
 
 // Load reads the environment and the file that EDGE_CONFIG names. The variables have the last word.
@@ -56,9 +59,9 @@
 func load(env func(string) string, before *Config) (*Config, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
-		return nil, errors.New("EDGE_CONFIG is not set")
+		return nil, errors.New("EDGE_CONFIG is not set; micafront demo shows a whole site at work, micafront --help the commands")
 	}
-	text, err := os.ReadFile(path)
+	text, compiled, err := read(path, env)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
@@ -72,7 +75,7 @@
 	} else if err := json.Unmarshal(text, &whole); err != nil {
 		return nil, fmt.Errorf("%s: not valid: %w", path, err)
 	}
-	if before != nil {
+	if before != nil && !compiled { // a site's compiler has said what it lacks
 		if err := lacks(before.file, whole, ""); err != nil {
 			return nil, fmt.Errorf("%s: %w", path, err)
 		}
@@ -132,6 +135,9 @@
 	if err := jsoniter.Unmarshal(f.Settings, &told); err != nil {
 		return nil, fmt.Errorf("%s: settings: %w", path, err)
 	}
+	if c.Routes, err = routes(f.Routing); err != nil {
+		return nil, fmt.Errorf("%s: routing: %w", path, err)
+	}
 	c.LoadIsDelay = told.FamilyInfo.TellsDelay && !told.FamilyInfo.TellsLoad
 	return c, nil
 }
--- /dev/null
+++ b/internal/config/site.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"example.org/micafront/internal/routing"
+	jsoniter "github.com/json-iterator/go"
+)
+
+// Sites, in the site language, are compiled by a program of their own: what the language needs would double this
+// process's memory. It is a child for a moment, and what it prints is the JSON form.
+
+// Tools is the name of that program, which lies beside this one; the variable names another place.
+const (
+	Tools    = "micafront-tools"
+	toolsEnv = "MICAFRONT_TOOLS"
+)
+
+// compileTime bounds the compiler, maxCompiled what it may print.
+const (
+	compileTime = 90 * time.Second
+	maxCompiled = 128 << 20
+)
+
+// read gives the JSON form of a configuration, and whether it was compiled from a site.
+func read(path string, env func(string) string) (text []byte, compiled bool, err error) {
+	if !strings.HasSuffix(path, ".cue") {
+		text, err = os.ReadFile(path)
+		return text, false, err
+	}
+	tools := env(toolsEnv)
+	if tools == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, true, err
+		}
+		tools = filepath.Join(filepath.Dir(self), Tools)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), compileTime)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, tools, "config", "convert", "--to", "json", path)
+	out, faults := &bounded{most: maxCompiled}, &bounded{most: 64 << 10}
+	cmd.Stdout, cmd.Stderr = out, faults
+	cmd.WaitDelay = time.Second
+	if err := cmd.Run(); err != nil {
+		if words := strings.TrimSpace(faults.String()); words != "" && ctx.Err() == nil {
+			return nil, true, errors.New(strings.ReplaceAll(words, "\n", " | "))
+		}
+		return nil, true, fmt.Errorf("%s: compiling it: %w", path, err)
+	}
+	if out.over {
+		return nil, true, fmt.Errorf("%s compiles to over %d MiB", path, maxCompiled>>20)
+	}
+	return out.Bytes(), true, nil
+}
+
+// bounded keeps the first bytes of what is written.
+type bounded struct {
+	bytes.Buffer
+	most int
+	over bool
+}
+
+func (b *bounded) Write(p []byte) (int, error) {
+	if b.Len()+len(p) > b.most {
+		b.over = true
+		return len(p), nil
+	}
+	return b.Buffer.Write(p)
+}
+
+// routes compiles the file's routes.
+func routes(text jsoniter.RawMessage) (*routing.Table, error) {
+	var set routing.Set
+	if len(text) > 0 {
+		d := jsoniter.ConfigCompatibleWithStandardLibrary.NewDecoder(bytes.NewReader(text))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&set); err != nil {
+			return nil, err
+		}
+	}
+	return routing.New(set.Completed())
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -21,6 +21,7 @@
 	BadLines, Overlong, NoFirstLine, NoRoom, AcceptErrors, DialErrors, SlowPeers               Counter
 	Lists, ListChanges, ListFailures, ListBroken, DelayNotes, LoadNotes, Reloads, ReloadErrors Counter
 	UnknownClass, SameID, Overtalked, Evicted, AbsurdLoads                                     Counter
+	NoRoute, Fallbacks, Transfers, MovesRetired                                                Counter
 	HandedOn, TakenOver                                                                        Counter
 	OpenNow                                                                                    Counter
 
@@ -82,6 +83,7 @@
 		{"slow_peers", c.SlowPeers}, {"lists", c.Lists}, {"list_changes", c.ListChanges},
 		{"list_failures", c.ListFailures}, {"list_broken", c.ListBroken}, {"delay_notes", c.DelayNotes},
 		{"load_notes", c.LoadNotes}, {"absurd_loads", c.AbsurdLoads}, {"reloads", c.Reloads}, {"reload_errors", c.ReloadErrors},
+		{"no_route", c.NoRoute}, {"fallbacks", c.Fallbacks}, {"transfers", c.Transfers}, {"moves_retired", c.MovesRetired},
 		{"handed_on", c.HandedOn}, {"taken_over", c.TakenOver}, {"open", c.OpenNow},
 	} {
 		fmt.Fprintf(w, "%s=%d ", f.name, f.v)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -51,38 +51,43 @@
 	return err == nil && int(c.Uid) == os.Getuid()
 }
 
-// Take asks the process behind path for its place. It gives the open socket to it, the listening descriptor and the
-// text. An error means that nobody gives anything: the caller starts on its own.
-func Take(path string) (link, listener int, text []byte, err error) {
-	link, listener = -1, -1
+// maxListeners is how many listening descriptors may be handed over.
+const maxListeners = 64
+
+// Take asks the process behind path for its place. It gives the open socket to it, the listening descriptors, the main
+// one first, and the text. An error means that nobody gives anything: the caller starts on its own.
+func Take(path string) (link int, listeners []int, text []byte, err error) {
+	link = -1
 	defer func() {
 		if err != nil {
 			_ = unix.Close(link)
-			_ = unix.Close(listener)
+			for _, fd := range listeners {
+				_ = unix.Close(fd)
+			}
 		}
 	}()
 	addr, done, err := near(path)
 	if err != nil {
-		return link, listener, nil, err
+		return link, listeners, nil, err
 	}
 	defer done()
 	if link, err = unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0); err != nil {
-		return link, listener, nil, os.NewSyscallError("socket", err)
+		return link, listeners, nil, os.NewSyscallError("socket", err)
 	}
 	end := time.Now().Add(takeTime)
 	limit := unix.NsecToTimeval(int64(takeTime))
 	_ = unix.SetsockoptTimeval(link, unix.SOL_SOCKET, unix.SO_SNDTIMEO, &limit)
 	if err = unix.Connect(link, addr); err != nil {
-		return link, listener, nil, os.NewSyscallError("connect", err)
+		return link, listeners, nil, os.NewSyscallError("connect", err)
 	}
 	if !SameUser(link) {
-		return link, listener, nil, errors.New("the socket is another user's")
+		return link, listeners, nil, errors.New("the socket is another user's")
 	}
-	buf, rights := make([]byte, 64<<10), make([]byte, unix.CmsgSpace(4*4))
+	buf, rights := make([]byte, 64<<10), make([]byte, unix.CmsgSpace(4*maxListeners))
 	for !bytes.HasSuffix(text, []byte("\n")) {
 		left := time.Until(end)
 		if left <= 0 || len(text) > maxText {
-			return link, listener, nil, errors.New("not handed over in time")
+			return link, listeners, nil, errors.New("not handed over in time")
 		}
 		limit = unix.NsecToTimeval(int64(max(left, time.Millisecond)))
 		_ = unix.SetsockoptTimeval(link, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &limit)
@@ -91,24 +96,25 @@
 			continue
 		}
 		if rerr != nil {
-			return link, listener, nil, os.NewSyscallError("recvmsg", rerr)
+			return link, listeners, nil, os.NewSyscallError("recvmsg", rerr)
 		}
 		if n == 0 {
-			return link, listener, nil, errors.New("the old process went away")
+			return link, listeners, nil, errors.New("the old process went away")
 		}
 		for _, fd := range evloop.Descriptors(rights[:rn]) {
-			if listener >= 0 {
-				_ = unix.Close(fd)
-				continue
-			}
-			listener = fd
+			listeners = append(listeners, fd)
 		}
 		text = append(text, buf[:n]...)
 	}
-	if on, err := unix.GetsockoptInt(listener, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on != 1 {
-		return link, listener, nil, errors.New("no listening descriptor came")
+	for _, fd := range listeners {
+		if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on != 1 {
+			return link, listeners, nil, errors.New("a descriptor came that does not listen")
+		}
+	}
+	if len(listeners) == 0 {
+		return link, listeners, nil, errors.New("no listening descriptor came")
 	}
-	return link, listener, text, nil
+	return link, listeners, text, nil
 }
 
 // Offer waits at path for a successor. What an earlier process left there is taken away.
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -148,6 +148,21 @@
 	return o, nil
 }
 
+// Field gives the value of a further field of the line, and whether it has one.
+func (o *Open) Field(name string) (string, bool) {
+	_, rest := word(trim(o.Raw))
+	_, rest = word(rest)
+	_, list := word(rest)
+	for len(list) > 0 {
+		var pair []byte
+		pair, list, _ = bytes.Cut(list, []byte(","))
+		if n, value, ok := bytes.Cut(pair, []byte("=")); ok && string(n) == name {
+			return string(value), true
+		}
+	}
+	return "", false
+}
+
 // AppendFirst appends the line as it goes to a next hop: d states how long the proxy will wait, and every
 // other byte is as it came.
 func (o *Open) AppendFirst(b []byte, wait time.Duration) []byte {
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -34,14 +34,19 @@
 		p.refuse(f, min(noRoomAfter, p.set.Limits.MaxRetryAfter))
 		return
 	}
-	if c, _ := p.classOf(o); !o.HasWait {
+	c, _ := p.classOf(o)
+	if f.safe = c.Effect == micafront.Safe; !o.HasWait {
 		o.Wait = c.GiveUp
 	}
-	f.deadline = p.loop.Now() + o.Wait
+	if !p.routed(f) {
+		return
+	}
+	now := p.loop.Now()
+	f.deadline = f.journey.Deadline(now, now+o.Wait)
 	if o.MidFlow {
 		p.count.MidFlow++
 	}
-	p.tell(p.request(f))
+	p.tell(f.pool, p.request(f))
 }
 
 // classOf finds a request's class. One that the settings have dropped is still that of connections that were open
@@ -61,7 +66,8 @@
 func (p *Proxy) request(f *flow) micafront.Request {
 	o := f.opening
 	return micafront.Request{ID: f.id, Class: o.Class, Group: o.Group, Key: o.Key, Deadline: f.deadline,
-		Hint: o.Hint, MidFlow: o.MidFlow, Repeat: o.Repeat, Returned: o.Again}
+		Hint: o.Hint, MidFlow: o.MidFlow, Repeat: o.Repeat, Returned: o.Again,
+		Attempts: f.journey.Attempts(p.set.Limits.Attempts)}
 }
 
 // refuse and fail give the final answer at once, whatever time the client would still wait.
@@ -83,6 +89,7 @@
 
 func (f *flow) answer(b []byte) {
 	f.answered = true
+	f.hold(holdsNothing)
 	f.in = nil
 	f.endClient(b)
 	f.p.forget(f)
@@ -109,5 +116,5 @@
 		f.callOff()
 		return
 	}
-	f.p.tell(micafront.ClientGone{ID: f.id})
+	f.p.tell(f.pool, micafront.ClientGone{ID: f.id})
 }
--- a/internal/proxy/book.go
+++ b/internal/proxy/book.go
@@ -24,7 +24,8 @@
 	case micafront.Moot:
 		p.count.OutcomeMoot++
 	}
-	p.tell(micafront.Outcome{ID: f.id, Server: a.hop.id, Attempt: a.no, Status: s,
+	f.journey.Ended(s.NeverRan())
+	p.tell(f.pool, micafront.Outcome{ID: f.id, Server: a.hop.id, Attempt: a.no, Status: s,
 		Latency: p.loop.Now() - a.sentAt, Final: f.answered})
 	p.forget(f)
 }
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -39,7 +39,14 @@
 
 func (p *Proxy) Telemetry() []byte {
 	return p.count.Figures(nil, counters.State{Pending: len(p.flows), Members: len(p.hops),
-		MembersUnavailable: p.module.Avoided()})
+		MembersUnavailable: p.avoided()})
+}
+
+func (p *Proxy) avoided() (n int) {
+	for _, q := range p.pools {
+		n += q.module.Avoided()
+	}
+	return n
 }
 
 // Evacuate sends clients away and keeps on serving those who come all the same. Once is as good as twice.
@@ -98,7 +105,7 @@
 		// cost them the way back. The others would be reset. All else is held to the end.
 		leaving = nil
 		for _, f := range p.open {
-			if p.module.Astray(f.id) {
+			if f.pool.module.Astray(f.id) {
 				leaving = append(leaving, f)
 			}
 		}
@@ -121,10 +128,12 @@
 	now := p.loop.Now()
 	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
 	if p.closedAt == 0 && (quiet && p.settled() || past >= stopLast) {
-		if p.succeeded() {
-			p.listener.Leave()
-		} else {
-			p.listener.Close()
+		for _, ln := range p.listeners() {
+			if p.succeeded() {
+				ln.Leave()
+			} else {
+				ln.Close()
+			}
 		}
 		p.closedAt = now
 	}
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -33,6 +33,7 @@
 	HasWait                bool
 	Hint                   float64
 	Repeat, Again, MidFlow bool
+	Field                  func(name string) string // a further field of the first message
 	// Forward gives the bytes for a next hop; they tell it how long the proxy will wait.
 	Forward func(wait time.Duration) []byte
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"example.org/micafront"
@@ -15,6 +17,8 @@
 	"example.org/micafront/internal/evloop"
 	"example.org/micafront/internal/operator"
 	"example.org/micafront/internal/registry"
+	"example.org/micafront/internal/routing"
+	"golang.org/x/sys/unix"
 )
 
 var errOverlong = errors.New("message too long")
@@ -23,9 +27,11 @@
 type Proxy struct {
 	loop     *evloop.Loop
 	listener *evloop.Listener
+	further  []*evloop.Listener // beside the main one, by name in listenerNames
+	names    []string
 	staff    *operator.Server // nil: none is told
 	protocol Protocol
-	module   *micafront.Balancer
+	poolSet
 	set      micafront.Settings
 	registry *registry.Client
 	dropped  map[string]micafront.Class // no longer in the settings; open connections still have them
@@ -35,7 +41,7 @@
 	log      io.Writer
 	count    counters.Counters
 
-	news    []micafront.Event // for the module
+	news    []news // for the modules
 	turning bool
 
 	strangers
@@ -71,6 +77,13 @@
 	id       string
 	opening  *Opening // until the connection stands
 	class    string
+	safe     bool           // may be repeated freely
+	listener string         // that took it in
+	table    *routing.Table // by which it was routed
+	pool     *pool
+	load     *load // of its route
+	holding  holding
+	journey  routing.Journey
 	figures  *counters.Requests // of the class under which it came
 	clientID string
 	stranger *list.Element // in strangers.waiting, until its first message is understood
@@ -91,31 +104,34 @@
 
 // New makes a proxy that listens but does not run yet.
 func New(c *config.Config, log io.Writer) (*Proxy, error) {
-	module, err := micafront.New(c.Settings, c.Seed)
-	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
 	loop, err := evloop.New()
 	if err != nil {
 		return nil, fmt.Errorf("event loop: %w", err)
 	}
-	p := &Proxy{loop: loop, protocol: Text{}, module: module, set: c.Settings, sockets: c.Sockets, log: log, delays: c.LoadIsDelay,
+	p := &Proxy{loop: loop, protocol: Text{}, set: c.Settings, sockets: c.Sockets, log: log, delays: c.LoadIsDelay,
 		flows: map[string]*flow{}, ids: map[string]*flow{}, hops: map[string]*hop{}, zones: map[string]time.Duration{},
 		dropped: map[string]micafront.Class{}}
+	if err := p.makePools(c.Routes, c.Seed); err != nil {
+		return nil, err
+	}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation,
 		Heard: p.hearList, Failed: p.listFailed}
 	p.memoryMB = c.MemoryMB
 	p.limitMemory()
 	inherited, will, link := p.inherit(c)
-	if inherited >= 0 {
-		p.listener, err = loop.Inherit(inherited, p.accept, p.acceptFailed)
-	} else {
-		p.listener, err = loop.Listen(c.Listen, p.accept, p.acceptFailed)
-	}
-	if err != nil {
+	if p.listener, err = p.listen(routing.MainListener, c.Listen, inherited); err != nil {
 		return nil, err
 	}
-	p.listener.Room = func() bool { return p.room(keptSockets) }
+	for _, name := range slices.Sorted(maps.Keys(c.Routes.Set.Listeners)) {
+		ln, err := p.listen(name, c.Routes.Set.Listeners[name], inherited)
+		if err != nil {
+			return nil, err
+		}
+		p.further, p.names = append(p.further, ln), append(p.names, name)
+	}
+	for _, fd := range inherited {
+		_ = unix.Close(fd) // of a listener that is told no more
+	}
 	if c.Operator != "" {
 		if p.staff, err = operator.Listen(loop, c.Operator, p); err != nil {
 			return nil, err
@@ -131,6 +147,37 @@
 	return p, nil
 }
 
+// listen opens a listener, or goes on with the one that the process before has handed over.
+func (p *Proxy) listen(name, addr string, inherited map[string]int) (*evloop.Listener, error) {
+	open := func(c *evloop.Conn) evloop.Handler { return p.accept(c, name) }
+	var ln *evloop.Listener
+	var err error
+	if fd, ok := inherited[name]; ok {
+		delete(inherited, name)
+		ln, err = p.loop.Inherit(fd, open, p.acceptFailed)
+	} else {
+		ln, err = p.loop.Listen(addr, open, p.acceptFailed)
+	}
+	if err == nil {
+		ln.Room = func() bool { return p.room(keptSockets) }
+	}
+	return ln, err
+}
+
+// listeners are all of them, the main one first.
+func (p *Proxy) listeners() []*evloop.Listener {
+	return append([]*evloop.Listener{p.listener}, p.further...)
+}
+
+// Further are the addresses of the listeners beside the main one, by name.
+func (p *Proxy) Further() map[string]string {
+	out := map[string]string{}
+	for i, name := range p.names {
+		out[name] = p.further[i].Addr()
+	}
+	return out
+}
+
 // Operator is where the operators call, "" where no such place was told.
 func (p *Proxy) Operator() string {
 	if p.staff == nil {
@@ -158,8 +205,7 @@
 // may Refused.
 func (p *Proxy) Reload(c *config.Config) error {
 	return p.loop.Post(func() {
-		actions, err := p.module.Reconfigure(p.loop.Now(), c.Settings)
-		if err != nil { // the file was checked before: nothing of it has been taken
+		if err := c.Settings.Check(); err != nil { // the file was checked before
 			p.count.ReloadErrors++
 			fmt.Fprintln(p.log, "configuration not taken:", err)
 			return
@@ -174,12 +220,26 @@
 			delete(p.dropped, class.Name)
 			p.count.Class(class.Name)
 		}
-		p.turn(actions)
+		p.reconfigure(c.Routes)
 		fmt.Fprintf(p.log, "configuration read again: discovery at %s\n", c.Discovery)
 		p.registry.Move(c.Discovery)
 	})
 }
 
+// reconfigure takes the settings in force, and the routes, to the modules.
+func (p *Proxy) reconfigure(table *routing.Table) {
+	now := p.loop.Now()
+	if err := p.retable(table); err != nil {
+		fmt.Fprintln(p.log, "pools not taken:", err)
+	}
+	for _, q := range slices.Concat(p.pools, p.gone) {
+		// Settings have been checked, and a module takes what makes sense.
+		if actions, err := q.module.Reconfigure(now, p.settingsOf(q)); err == nil {
+			p.turn(q, actions)
+		}
+	}
+}
+
 // Refused books a configuration that cannot be used; the old one stays in force.
 func (p *Proxy) Refused(err error) error {
 	return p.loop.Post(func() {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -26,10 +26,11 @@
 	f.place = len(p.open)
 	p.open = append(p.open, f)
 	f.answered = true
+	f.hold(holdsOpen)
 	if standing := f.opening.Standing; standing != "" {
-		p.tell(micafront.Open{Request: p.request(f), Server: standing})
+		p.tell(f.pool, micafront.Open{Request: p.request(f), Server: standing})
 	} else {
-		p.tell(micafront.First{ID: f.id, Server: a.hop.id, Attempt: a.no, Latency: p.loop.Now() - a.sentAt})
+		p.tell(f.pool, micafront.First{ID: f.id, Server: a.hop.id, Attempt: a.no, Latency: p.loop.Now() - a.sentAt})
 	}
 	f.opening, f.stuck = nil, 0
 	if f.in != nil {
@@ -102,11 +103,11 @@
 		p.count.DelayNotes++
 		a.hop.told = p.loop.Now()
 		delay := time.Duration(x * float64(time.Millisecond))
-		p.tell(micafront.DelayNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Delay: delay})
+		p.tell(f.pool, micafront.DelayNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Delay: delay})
 		return
 	}
 	p.count.LoadNotes++
-	p.tell(micafront.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
+	p.tell(f.pool, micafront.LoadNote{ID: f.id, Server: a.hop.id, Attempt: a.no, Load: x / 1e6})
 }
 
 // maxDelay is the longest time of a message that a next hop is believed to take.
@@ -165,6 +166,7 @@
 	p.open[len(p.open)-1] = nil
 	p.open = p.open[:len(p.open)-1]
 	f.place = -1
+	f.hold(holdsNothing)
 	f.endClient(last)
 	a.end(s)
 }
@@ -250,7 +252,7 @@
 		late := took > aim/3
 		if (late || h.late) && now-h.told > noteEvery*3/2 {
 			p.count.DelayNotes++
-			p.tell(micafront.DelayNote{ID: f.id, Server: h.id, Attempt: f.attempts - 1, Delay: took})
+			p.tell(f.pool, micafront.DelayNote{ID: f.id, Server: h.id, Attempt: f.attempt.no, Delay: took})
 		}
 		h.late = late
 	}
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -10,35 +10,41 @@
 
 // Route: events go to the module and its actions are carried out, in order.
 
-// tell queues an event. What the module's actions cause in turn is queued behind, so that the module is never
-// entered twice.
-func (p *Proxy) tell(e micafront.Event) {
-	p.news = append(p.news, e)
-	p.turn(nil)
+// news is an event for a pool's module.
+type news struct {
+	pool  *pool
+	event micafront.Event
 }
 
-// turn carries out what the module asked for outside of an event, then hands it the events that wait.
-func (p *Proxy) turn(actions []micafront.Action) {
+// tell queues an event. What the modules' actions cause in turn is queued behind, so that no module is ever entered
+// twice.
+func (p *Proxy) tell(q *pool, e micafront.Event) {
+	p.news = append(p.news, news{q, e})
+	p.turn(q, nil)
+}
+
+// turn carries out what a module asked for outside of an event, then hands out the events that wait.
+func (p *Proxy) turn(q *pool, actions []micafront.Action) {
 	if p.turning {
 		return
 	}
 	p.turning = true
 	for _, a := range actions {
-		p.do(a)
+		p.do(q, a)
 	}
 	for len(p.news) > 0 {
-		e := p.news[0]
+		n := p.news[0]
 		if p.news = p.news[1:]; len(p.news) == 0 {
 			p.news = nil
 		}
-		for _, a := range p.module.Handle(p.loop.Now(), e) {
-			p.do(a)
+		for _, a := range n.pool.module.Handle(p.loop.Now(), n.event) {
+			p.do(n.pool, a)
 		}
 	}
 	p.turning = false
 }
 
-func (p *Proxy) do(a micafront.Action) {
+func (p *Proxy) do(q *pool, a micafront.Action) {
 	switch a := a.(type) {
 	case micafront.Send:
 		if f := p.flows[a.ID]; f != nil {
@@ -46,7 +52,7 @@
 		}
 	case micafront.Refuse:
 		if f := p.flows[a.ID]; f != nil {
-			p.refuse(f, a.After)
+			p.refused(f, q, a.After)
 		}
 	case micafront.Fail:
 		if f := p.flows[a.ID]; f != nil {
@@ -62,23 +68,27 @@
 			p.move(f, micafront.Cancelled)
 		}
 	case micafront.SetTimer:
-		p.loop.After(a.Delay, func() { p.tell(micafront.Timer{Token: a.Token}) })
+		p.loop.After(a.Delay, func() { p.tell(q, micafront.Timer{Token: a.Token}) })
 	case micafront.Watch:
-		p.registry.Watch(a.On)
+		if q == p.lead {
+			p.registry.Watch(a.On)
+		}
 	case micafront.Fetch:
-		p.registry.Fetch()
+		if q == p.lead {
+			p.registry.Fetch()
+		}
 	case micafront.Log:
 		fmt.Fprintln(p.log, a.Text)
 	case micafront.Probe:
 		// The module asks for none today; one that does hears that it never went out.
-		p.tell(micafront.Probed{Server: a.Server, Status: micafront.Moot})
+		p.tell(q, micafront.Probed{Server: a.Server, Status: micafront.Moot})
 	}
 }
 
 // hearList takes the transport map's news.
 func (p *Proxy) hearList(l registry.List, kind micafront.ListKind) {
 	p.mapHops(l, kind)
-	p.tell(l.Members(kind))
+	p.hear(&l, kind)
 }
 
 // mapHops brings the next hops' addresses up to it.
@@ -120,5 +130,5 @@
 		p.count.ListBroken++
 	}
 	fmt.Fprintln(p.log, err)
-	p.tell(micafront.Members{Kind: micafront.ListFailed})
+	p.tell(p.lead, micafront.Members{Kind: micafront.ListFailed}) // it alone asks again
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -26,15 +26,16 @@
 
 func (p *Proxy) send(f *flow, s micafront.Send) {
 	now := p.loop.Now()
-	a := &attempt{f: f, no: f.attempts, hop: p.hops[s.Server], sentAt: now, until: f.deadline}
+	a := &attempt{f: f, no: f.journey.Number(f.attempts), hop: p.hops[s.Server], sentAt: now, until: f.deadline}
 	f.attempts++
+	f.journey.Sent()
 	if a.hop == nil {
 		a.hop = &hop{id: s.Server}
 	}
 	if s.Timeout != 0 {
 		a.until = min(now+s.Timeout, f.deadline)
 	}
-	if f.answered || f.attempt != nil || a.no >= p.set.Limits.Attempts || a.until <= now {
+	if f.answered || f.attempt != nil || f.attempts > p.set.Limits.Attempts || a.until <= now {
 		// Never two at once, none past the end: what must not go out is reported as never sent.
 		a.over = true
 		p.book(a, micafront.Moot)
@@ -127,6 +128,7 @@
 			return
 		case SignBye:
 			a.f.answered = true
+			a.f.hold(holdsNothing)
 			p.count.Served++
 			a.f.figures.Completed++
 			a.f.endClient(m)
@@ -220,6 +222,7 @@
 		return
 	}
 	f.attempt, f.attempts = a, 1
+	f.enter(p.poolOf(a.hop.id))
 	a.dial()
 }
 
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +16,7 @@
 	"example.org/micafront/internal/evloop"
 	"example.org/micafront/internal/handover"
 	"example.org/micafront/internal/registry"
+	"example.org/micafront/internal/routing"
 	jsoniter "github.com/json-iterator/go"
 	"golang.org/x/sys/unix"
 )
@@ -26,8 +29,11 @@
 // bequest is what the old process hands over, beside the listening descriptor.
 type bequest struct {
 	Discovery string
-	List      jsoniter.RawMessage // in discovery's form
-	Module    micafront.State
+	List      jsoniter.RawMessage        // in discovery's form
+	Module    micafront.State            // where the fleet is undivided
+	Pools     map[string]micafront.State // else of each pool
+	Held      map[string]time.Duration   // next hops that belong to no pool until then
+	Listeners []string                   // whose descriptors came behind the main one's
 	Dropped   map[string]micafront.Class
 	Open      []string // ids that clients gave
 }
@@ -43,6 +49,8 @@
 // relayed is a connection that stands, as its next process needs it.
 type relayed struct {
 	ClientID string
+	Route    string
+	Pool     string
 	Open     micafront.Open
 	Addr     string // of the next hop
 	Tail     []byte // of the next hop's, the start of a message
@@ -85,24 +93,32 @@
 
 // inherit takes over from a process that serves at the same address, if one does. Without a listener in return the
 // caller starts on its own.
-func (p *Proxy) inherit(c *config.Config) (listener int, b *bequest, link int) {
+func (p *Proxy) inherit(c *config.Config) (listeners map[string]int, b *bequest, link int) {
 	p.path = handover.Path(c.TempDir, c.Name, c.Listen)
 	if p.path == "" {
-		return -1, nil, -1
+		return nil, nil, -1
 	}
-	link, listener, text, err := handover.Take(p.path)
+	link, fds, text, err := handover.Take(p.path)
 	if err != nil {
 		if !errors.Is(err, os.ErrNotExist) && !errors.Is(err, unix.ECONNREFUSED) {
 			fmt.Fprintln(p.log, "nothing is handed over:", err)
 		}
-		return -1, nil, -1
+		return nil, nil, -1
 	}
 	b = &bequest{}
 	if err := json.Unmarshal(text, b); err != nil {
 		fmt.Fprintln(p.log, "what was handed over cannot be read, starting without it:", err)
 		b = nil
 	}
-	return listener, b, link
+	listeners = map[string]int{routing.MainListener: fds[0]}
+	for i, fd := range fds[1:] {
+		if b == nil || i >= len(b.Listeners) {
+			_ = unix.Close(fd)
+			continue
+		}
+		listeners[b.Listeners[i]] = fd
+	}
+	return listeners, b, link
 }
 
 // begin starts the module: where the old process is, or with the known list alone.
@@ -119,20 +135,60 @@
 		delete(p.dropped, class.Name)
 	}
 	list, err := registry.ParseList(b.List)
-	var actions []micafront.Action
-	if err == nil {
-		actions, err = p.module.Resume(p.loop.Now(), b.Module)
-	}
 	if err != nil {
 		fmt.Fprintln(p.log, "what was handed over is not taken over:", err)
 		p.hearList(c.Known, micafront.SavedList)
 		return
 	}
+	type resumed struct {
+		actions []micafront.Action
+		ok      bool
+	}
+	var all []resumed
+	taken := false
+	for i, q := range p.pools {
+		var r resumed
+		if state, was := b.stateOf(&p.table.Set.Pools[i], p.single()); was {
+			if r.actions, err = q.module.Resume(p.loop.Now(), state); err != nil {
+				fmt.Fprintln(p.log, "what was handed over is not taken over:", err)
+			}
+			r.ok = err == nil
+		}
+		all, taken = append(all, r), taken || r.ok
+	}
+	if !taken {
+		p.hearList(c.Known, micafront.SavedList)
+		return
+	}
 	if p.registry.Generation = list.Generation; b.Discovery != c.Discovery {
 		p.registry.Generation = 0 // generations of two discoveries do not compare
 	}
 	p.mapHops(list, micafront.SavedList)
-	p.turn(actions)
+	p.owners.Hold(b.Held)
+	heard := p.owners.Hear(p.loop.Now(), micafront.SavedList, list.Generation, list.Entries())
+	for i, q := range p.pools {
+		if r := all[i]; r.ok {
+			p.turn(q, r.actions)
+			heard[i].Members.Kind = micafront.FullList // its pool may have taken other next hops before
+		}
+		if !all[i].ok || len(b.Pools) > 0 {
+			p.tell(q, heard[i].Members)
+		}
+	}
+	p.divide(nil)
+}
+
+// stateOf is what the old process knew of a pool, by its name or by those that it had.
+func (b *bequest) stateOf(q *routing.Pool, single bool) (micafront.State, bool) {
+	if len(b.Pools) == 0 {
+		return b.Module, single // the whole fleet's
+	}
+	for _, name := range append([]string{q.Name}, q.Was...) {
+		if s, ok := b.Pools[name]; ok {
+			return s, true
+		}
+	}
+	return micafront.State{}, false
 }
 
 // descend keeps in touch with the old process, whose link this is.
@@ -192,7 +248,15 @@
 	for _, h := range p.hopsInOrder() {
 		list.Instances = append(list.Instances, h.entry)
 	}
-	b := bequest{Discovery: p.registry.Addr, Module: p.module.State(), Dropped: p.dropped}
+	b := bequest{Discovery: p.registry.Addr, Dropped: p.dropped, Held: p.owners.Held(), Listeners: p.names}
+	if p.single() && p.pools[0].name == routing.Single().Pools[0].Name {
+		b.Module = p.pools[0].module.State()
+	} else {
+		b.Pools = map[string]micafront.State{}
+		for _, q := range p.pools {
+			b.Pools[q.name] = q.module.State()
+		}
+	}
 	for id := range p.ids {
 		b.Open = append(b.Open, id)
 	}
@@ -202,7 +266,11 @@
 		text, err = json.Marshal(b)
 	}
 	if err == nil {
-		err = c.WriteWith(append(text, '\n'), p.listener.FD())
+		var fds []int
+		for _, ln := range p.listeners() {
+			fds = append(fds, ln.FD())
+		}
+		err = c.WriteWith(append(text, '\n'), fds...)
 	}
 	if err != nil {
 		fmt.Fprintln(p.log, "not handed over:", err)
@@ -234,7 +302,7 @@
 		k.conn.Close()
 		k.Closed(errors.New("silent"))
 	} else if k != nil && now-k.heardAt > silentHeir {
-		p.listener.Rest(false)
+		p.rest(false)
 	}
 	p.loop.After(beatEvery, p.beatTurn)
 }
@@ -254,8 +322,17 @@
 // tellStanding lets the successor know where this process's connections stand: their packets come to it next.
 func (p *Proxy) tellStanding() {
 	if p.heir != nil {
-		p.tellKin(beat{Open: p.loop.Open(), Serving: true, Stood: p.module.Standing()})
+		p.tellKin(beat{Open: p.loop.Open(), Serving: true, Stood: p.standing()})
+	}
+}
+
+// standing is where this process's open connections stand, by client.
+func (p *Proxy) standing() map[uint64]string {
+	out := map[uint64]string{}
+	for _, q := range slices.Concat(p.gone, p.pools) {
+		maps.Copy(out, q.module.Standing())
 	}
+	return out
 }
 
 // handOn gives the connections that stand to the successor. It tells whether those that are left will go that way.
@@ -269,7 +346,15 @@
 		r := &relayed{ClientID: f.clientID, Addr: a.hop.addr, Tail: a.tail, ToClient: f.client.Waiting(),
 			ToHop: a.conn.Waiting(), Asked: f.asked, Last: a.last}
 		var known bool
-		if r.Open, known = p.module.Connection(f.id); !known {
+		if f.load != nil {
+			r.Pool = f.pool.name
+			for name, l := range p.loads {
+				if l == f.load {
+					r.Route = name
+				}
+			}
+		}
+		if r.Open, known = f.pool.module.Connection(f.id); !known {
 			// The module has never heard of its next hop. It is relayed on all the same.
 			r.Open = micafront.Open{Request: micafront.Request{Class: f.class}, Server: a.hop.id}
 		}
@@ -324,10 +409,17 @@
 	}
 	p.count.TakenOver++
 	f.attempt = a
+	if f.pool = p.poolNamed(r.Pool); f.pool == nil {
+		f.pool = p.poolOf(r.Open.Server)
+	}
+	if r.Route != "" {
+		f.load = p.loadOf(r.Route)
+	}
+	f.hold(holdsOpen)
 	p.open = append(p.open, f)
 	p.flows[f.id], p.ids[f.clientID] = f, f
 	r.Open.ID = f.id
-	p.tell(r.Open)
+	p.tell(f.pool, r.Open)
 	if f.place < 0 {
 		return // moved at once, as off a next hop that drains
 	}
@@ -339,6 +431,13 @@
 	}
 }
 
+// rest leaves all queues to the successor, or takes them up again.
+func (p *Proxy) rest(on bool) {
+	for _, ln := range p.listeners() {
+		ln.Rest(on)
+	}
+}
+
 // succeeded tells that a successor serves from the same queue.
 func (p *Proxy) succeeded() bool {
 	return p.heir != nil && p.heir.serving && p.loop.Now()-p.heir.heardAt <= silentHeir
@@ -401,7 +500,9 @@
 	p := k.p
 	k.heardAt, k.open = p.loop.Now(), max(b.Open, 0)
 	if k.elder {
-		p.module.Stood(b.Stood)
+		for _, q := range p.pools {
+			q.module.Stood(b.Stood)
+		}
 		if b.Relay != nil {
 			k.takeOver(b.Relay)
 		}
@@ -413,7 +514,7 @@
 			p.withdraw() // the place to ask is the successor's now
 			fmt.Fprintln(p.log, "the successor serves")
 		}
-		p.listener.Rest(true)
+		p.rest(true)
 	}
 }
 
@@ -431,7 +532,7 @@
 	case p.heir == k:
 		p.heir = nil
 		fmt.Fprintln(p.log, "the successor has gone, this process goes on")
-		p.listener.Rest(false)
+		p.rest(false)
 		if !p.stopping {
 			p.offerPlace()
 		}
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -64,9 +64,9 @@
 // senderSide hears a client's connection.
 type senderSide struct{ *flow }
 
-func (p *Proxy) accept(c *evloop.Conn) evloop.Handler {
+func (p *Proxy) accept(c *evloop.Conn, listener string) evloop.Handler {
 	p.count.Accepted++
-	f := &flow{p: p, client: c, place: -1}
+	f := &flow{p: p, client: c, place: -1, listener: listener}
 	f.stranger = p.strangers.waiting.PushBack(f)
 	f.limit = p.loop.After(greetTime, func() {
 		p.count.NoFirstLine++
@@ -180,6 +180,10 @@
 		p.flows[f.id], p.ids[o.ID] = f, f
 		if o.Standing != "" {
 			p.count.Standing++
+			l := p.line(f)
+			if d, ok := p.table.Decide(&l); ok {
+				f.table, f.load = p.table, p.loadOf(p.table.Set.Routes[d.Route].Name)
+			}
 			p.resume(f)
 			return
 		}
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"example.org/micafront"
+	"example.org/micafront/internal/routing"
 	jsoniter "github.com/json-iterator/go"
 )
 
@@ -61,13 +62,21 @@
 	return l, nil
 }
 
-// Members is the list as the module's event. Its times are on the loop's scale, which is Unix time.
+// Entries are the list's, as routing takes them. Their times are on the loop's scale, which is Unix time.
+func (l *List) Entries() (out []routing.Entry) {
+	for _, e := range l.Instances {
+		out = append(out, routing.Entry{MachineType: e.MachineType, Member: micafront.Member{Server: e.ID,
+			Phase: phases[e.Lifecycle], StartedAt: time.Duration(e.StartedAtMs) * time.Millisecond, Size: e.Weight,
+			Zone: e.Zone, Cell: e.Cell}})
+	}
+	return out
+}
+
+// Members is the list as the module's event.
 func (l *List) Members(kind micafront.ListKind) micafront.Members {
 	m := micafront.Members{Kind: kind, Version: l.Generation}
-	for _, e := range l.Instances {
-		m.Entries = append(m.Entries, micafront.Member{Server: e.ID, Phase: phases[e.Lifecycle],
-			StartedAt: time.Duration(e.StartedAtMs) * time.Millisecond, Size: e.Weight, Zone: e.Zone,
-			Cell: e.Cell})
+	for _, e := range l.Entries() {
+		m.Entries = append(m.Entries, e.Member)
 	}
 	return m
 }
--- a/internal/routing/diff.go
+++ b/internal/routing/diff.go
@@ -78,7 +78,7 @@
 	if err := d.cut(0, d.rules, make([]*Span, len(d.closed))); err != nil {
 		return nil, err
 	}
-	return merge(d.out), nil
+	return d.merge(d.out), nil
 }
 
 // Unreached gives the routes that no connection reaches, and for each one of the routes that take its place.
@@ -464,18 +464,13 @@
 	}
 }
 
-// merge brings together changes that differ in the named texts of one dimension alone, and puts all in a stable order.
-func merge(changes []Change) []Change {
+// merge brings together changes that differ in one dimension alone, where their texts add up or leave nothing out, and
+// puts all in a stable order.
+func (d *differ) merge(changes []Change) []Change {
 	for before := -1; before != len(changes); {
 		before = len(changes)
-		dims := map[string]bool{}
-		for i := range changes {
-			for _, s := range changes[i].Cell {
-				dims[s.Dim] = dims[s.Dim] || len(s.Texts) > 0
-			}
-		}
-		for _, dim := range sorted(dims) {
-			changes = mergeIn(dim, changes)
+		for dim := range d.closed {
+			changes = d.mergeIn(dim, changes)
 		}
 	}
 	slices.SortStableFunc(changes, func(a, b Change) int {
@@ -484,26 +479,61 @@
 	return changes
 }
 
-func mergeIn(dim string, changes []Change) []Change {
-	at := map[string]int{}
+func (d *differ) mergeIn(dim int, changes []Change) []Change {
+	name := d.name(dim)
+	span := func(c *Change) int {
+		return slices.IndexFunc(c.Cell, func(s Span) bool { return s.Dim == name })
+	}
+	groups := map[string][]int{} // of changes that are alike in all else
+	var order []string
 	var out []Change
-	for _, c := range changes {
-		i := slices.IndexFunc(c.Cell, func(s Span) bool { return s.Dim == dim && len(s.Texts) > 0 })
-		if i < 0 {
-			out = append(out, c)
+	for i := range changes {
+		if span(&changes[i]) < 0 {
+			out = append(out, changes[i])
 			continue
 		}
-		k := signature(&c, dim)
-		first, ok := at[k]
-		if !ok {
-			at[k] = len(out)
-			c.Cell = slices.Clone(c.Cell)
-			out = append(out, c)
-			continue
+		k := signature(&changes[i], name)
+		if groups[k] == nil {
+			order = append(order, k)
+		}
+		groups[k] = append(groups[k], i)
+	}
+	for _, k := range order {
+		var texts []string
+		var other []Change
+		var first *Change
+		for _, i := range groups[k] {
+			c := changes[i]
+			s := c.Cell[span(&c)]
+			if len(s.Texts) == 0 {
+				other = append(other, c)
+				continue
+			}
+			if first == nil {
+				first = &changes[i]
+			}
+			texts = append(texts, s.Texts...)
 		}
-		texts := append(slices.Clone(out[first].Cell[i].Texts), c.Cell[i].Texts...)
 		slices.Sort(texts)
-		out[first].Cell[i].Texts = slices.Compact(texts)
+		texts = slices.Compact(texts)
+		whole := len(other) == 0 && len(d.closed[dim]) > 0 && len(texts) == len(d.closed[dim])
+		if len(other) == 1 && first != nil {
+			rest := other[0].Cell[span(&other[0])]
+			whole = rest.Prefix == "" && len(rest.Beside) == 0 && slices.Equal(rest.Except, texts)
+		}
+		if first == nil {
+			out = append(out, other...)
+			continue
+		}
+		c := *first
+		c.Cell = slices.Clone(c.Cell)
+		if at := span(&c); whole {
+			c.Cell = slices.Delete(c.Cell, at, at+1)
+			other = nil
+		} else {
+			c.Cell[at].Texts = texts
+		}
+		out = append(append(out, other...), c)
 	}
 	return out
 }
@@ -513,7 +543,7 @@
 	var b strings.Builder
 	for _, s := range c.Cell {
 		if s.Dim == but {
-			s.Texts = nil
+			s = Span{Dim: but}
 		}
 		fmt.Fprintf(&b, "%q", s)
 	}
--- a/internal/routing/owners.go
+++ b/internal/routing/owners.go
@@ -38,6 +38,7 @@
 	order []int // pools, the highest precedence first
 	cold  time.Duration
 	hops  map[string]*owned
+	held  map[string]micafront.Instant // as handed over, until their next hops are heard of
 	// Notes are what changed hands or belongs to nobody, in words, since they were last taken.
 	Notes []string
 }
@@ -63,6 +64,19 @@
 	slices.SortFunc(o.order, func(a, b int) int { return byPrecedence(&set.Pools[a], &set.Pools[b]) })
 }
 
+// Cold takes another time for which a next hop is cold after its start.
+func (o *Owners) Cold(cold time.Duration) { o.cold = cold }
+
+// Holding reports whether any next hop is held back.
+func (o *Owners) Holding() bool {
+	for _, v := range o.hops {
+		if v.until > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // choose finds the pool for a next hop, and whether more than one would take it.
 func (o *Owners) choose(h Hop) (pool int, several bool) {
 	pool = -1
@@ -140,6 +154,9 @@
 	}
 	if v == nil {
 		v = &owned{pool: pool}
+		if o.held[e.Server] > now {
+			v.until = o.heldUntil(now, e)
+		}
 		o.hops[e.Server] = v
 		if pool < 0 {
 			o.note("next hop %s belongs to no pool", e.Server)
@@ -233,6 +250,20 @@
 	return out
 }
 
+// Held tells until when next hops are held back; Hold takes that from a process before this one.
+func (o *Owners) Held() map[string]micafront.Instant {
+	out := map[string]micafront.Instant{}
+	for id, v := range o.hops {
+		if v.until > 0 {
+			out[id] = v.until
+		}
+	}
+	return out
+}
+
+// Hold is to be called before any list is heard.
+func (o *Owners) Hold(until map[string]micafront.Instant) { o.held = until }
+
 // Heirs matches the pools of an old set to those of a new one: by name, or by the names that a new pool was known
 // under. A pool that was split goes on in the first of its heirs by name; the others begin anew. -1: it is gone.
 func Heirs(old, new *Set) []int {
--- a/internal/routing/set.go
+++ b/internal/routing/set.go
@@ -34,6 +34,17 @@
 // Duration converts it.
 func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
 
+// drainOver is how long connections of a dropped pool have where a set does not say.
+const drainOver = 30 * time.Second
+
+// Drain is how long connections have to leave when their pool is gone.
+func (s *Set) Drain() time.Duration {
+	if s.DrainOver > 0 {
+		return s.DrainOver.Duration()
+	}
+	return drainOver
+}
+
 // Whole is a whole split, in parts per million.
 const Whole = 1_000_000
 
--- a/settings.go
+++ b/settings.go
@@ -90,3 +90,11 @@
 	}
 	return nil
 }
+
+// mostAttempts is how many attempts a request may have: what the limits say, or less where it was told so.
+func (b *Balancer) mostAttempts(r *request) int {
+	if r.Attempts > 0 {
+		return min(r.Attempts, b.set.Limits.Attempts)
+	}
+	return b.set.Limits.Attempts
+}
