--- a/cmd/micafront-tools/main.go
+++ b/cmd/micafront-tools/main.go
@@ -17,6 +17,7 @@
 type commandLine struct {
 	Serve      serveCommand                 `cmd:"" help:"Run the proxy, from a site or a JSON configuration."`
 	Config     configCommand                `cmd:"" help:"Check, format, compare, explain and convert configurations."`
+	Demo       demoCommand                  `cmd:"" help:"Show a whole site at work on loopback, with a deploy half-way."`
 	Version    versionCommand               `cmd:"" help:"Say which version this is."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print what makes the shell complete these commands."`
 }
--- a/cmd/micafront/hard_test.go
+++ b/cmd/micafront/hard_test.go
@@ -7,6 +7,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
 )
 
 // descriptors is how many the program holds.
@@ -21,29 +24,40 @@
 // Clients that leave at any stage, politely or by a reset, leave nothing behind: no request, no attempt, no descriptor.
 func TestClientsThatLeave(t *testing.T) {
 	w, conns := one(t, withStaff)
-	await(t, w.watches)
+	standin.Await(t, w.Watches)
 	before := w.descriptors()
-	stages := map[string]func(c *peer) (s *peer){
-		"silent":         func(*peer) *peer { return nil },
-		"half a line":    func(c *peer) *peer { c.say("OPEN x k c=fe"); return nil },
-		"checked":        func(c *peer) *peer { c.say("PING\r\n"); c.line(); return nil },
-		"turned away":    func(c *peer) *peer { c.say("X\r\n"); c.line(); return nil },
-		"asked":          func(c *peer) *peer { c.say(opening("k")); s := await(t, conns); s.line(); return s },
-		"half an answer": func(c *peer) *peer { c.say(opening("k")); s := await(t, conns); s.line(); s.say("U"); return s },
-		"up": func(c *peer) *peer {
-			c.say(opening("k"))
-			s := await(t, conns)
-			s.line()
-			s.say("UP r\r\n")
-			c.line()
+	stages := map[string]func(c *standin.Peer) (s *standin.Peer){
+		"silent":      func(*standin.Peer) *standin.Peer { return nil },
+		"half a line": func(c *standin.Peer) *standin.Peer { c.Say("OPEN x k c=fe"); return nil },
+		"checked":     func(c *standin.Peer) *standin.Peer { c.Say("PING\r\n"); c.Line(); return nil },
+		"turned away": func(c *standin.Peer) *standin.Peer { c.Say("X\r\n"); c.Line(); return nil },
+		"asked": func(c *standin.Peer) *standin.Peer {
+			c.Say(opening("k"))
+			s := standin.Await(t, conns)
+			s.Line()
+			return s
+		},
+		"half an answer": func(c *standin.Peer) *standin.Peer {
+			c.Say(opening("k"))
+			s := standin.Await(t, conns)
+			s.Line()
+			s.Say("U")
+			return s
+		},
+		"up": func(c *standin.Peer) *standin.Peer {
+			c.Say(opening("k"))
+			s := standin.Await(t, conns)
+			s.Line()
+			s.Say("UP r\r\n")
+			c.Line()
 			return s
 		},
 	}
 	for name, stage := range stages {
-		for _, leave := range []func(*peer){
-			func(c *peer) { c.Close() },
-			func(c *peer) { c.SetLinger(0); c.Close() },
-			func(c *peer) { c.CloseWrite() },
+		for _, leave := range []func(*standin.Peer){
+			func(c *standin.Peer) { c.Close() },
+			func(c *standin.Peer) { c.SetLinger(0); c.Close() },
+			func(c *standin.Peer) { c.CloseWrite() },
 		} {
 			c := w.dial()
 			s := stage(c)
@@ -51,14 +65,14 @@
 			if s == nil {
 				continue
 			}
-			if l := s.line(); l != "EOF" && l != "RST" {
+			if l := s.Line(); l != "EOF" && l != "RST" {
 				t.Errorf("%s: the next hop heard %q", name, l)
 			}
 			s.Close()
 		}
 	}
 	w.figures(map[string]string{"svc.pending": "0"})
-	for end := time.Now().Add(patience); w.descriptors() > before; time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(standin.Patience); w.descriptors() > before; time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("%d descriptors, %d before", w.descriptors(), before)
 		}
@@ -66,10 +80,10 @@
 }
 
 // trickle sends a text a byte at a time, each in a packet of its own.
-func trickle(p *peer, text string) {
+func trickle(t *testing.T, p *standin.Peer, text string) {
 	for i := range len(text) {
 		if _, err := io.WriteString(p, text[i:i+1]); err != nil {
-			p.t.Errorf("trickle: %v", err)
+			t.Errorf("trickle: %v", err)
 			return
 		}
 	}
@@ -79,24 +93,24 @@
 func TestPieces(t *testing.T) {
 	w, conns := one(t, withStaff)
 	c := w.dial()
-	trickle(c, "PING\r\n")
-	equal(t, "readiness", "PONG", c.line())
+	trickle(t, c, "PING\r\n")
+	Equal(t, "readiness", "PONG", c.Line())
 	first := opening("key")
-	trickle(c, first)
-	s := await(t, conns)
-	s.line()
-	trickle(s, "UP r\r\n")
-	equal(t, "answer", "UP r", c.line())
+	trickle(t, c, first)
+	s := standin.Await(t, conns)
+	s.Line()
+	trickle(t, s, "UP r\r\n")
+	Equal(t, "answer", "UP r", c.Line())
 	for i := range 20 {
 		up, down := fmt.Sprint("M ", i), fmt.Sprint("N ", i)
-		trickle(c, up+"\r\n")
-		equal(t, "to the next hop", up, s.line())
-		trickle(s, down+"\r\n")
-		equal(t, "to the client", down, c.line())
+		trickle(t, c, up+"\r\n")
+		Equal(t, "to the next hop", up, s.Line())
+		trickle(t, s, down+"\r\n")
+		Equal(t, "to the client", down, c.Line())
 	}
-	trickle(s, "BYE\r\n")
+	trickle(t, s, "BYE\r\n")
 	s.Close()
-	equal(t, "end", []string{"BYE", "EOF"}, []string{c.line(), c.line()})
+	Equal(t, "end", []string{"BYE", "EOF"}, []string{c.Line(), c.Line()})
 	c.Close()
 	w.figures(map[string]string{"svc.pending": "0", "svc.downstream_requests.feed.completed": "1"})
 }
@@ -105,12 +119,12 @@
 func TestStopHearsOutWhoHasBegun(t *testing.T) {
 	w, _ := one(t, withStaff)
 	c := w.dial()
-	c.say("OPEN slow k c=feed,")
-	equal(t, "readiness of one that came later", "PONG", w.ping())
+	c.Say("OPEN slow k c=feed,")
+	Equal(t, "readiness of one that came later", "PONG", w.ping())
 	w.cmd.Process.Signal(syscall.SIGTERM)
-	equal(t, "when its time is up", []string{"ERR SYNTAX", "EOF"}, []string{c.line(), c.line()})
+	Equal(t, "when its time is up", []string{"ERR SYNTAX", "EOF"}, []string{c.Line(), c.Line()})
 	c.Close()
-	if err := await(t, w.exited); err != nil {
+	if err := standin.Await(t, w.exited); err != nil {
 		t.Errorf("exit: %v", err)
 	}
 }
--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -2,23 +2,20 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"example.org/micafront/internal/config"
+	"example.org/micafront/internal/logging"
 	"example.org/micafront/internal/proxy"
 )
 
 func main() {
-	flag.Usage = func() {
-		fmt.Fprintln(os.Stderr, "usage: micafront\nIt is told by EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONFIG.")
-	}
-	flag.Parse()
-	if flag.NArg() > 0 {
-		flag.Usage()
+	if len(os.Args) > 1 || os.Getenv("COMP_LINE") != "" {
+		err := tools()
+		fmt.Fprintln(os.Stderr, "micafront:", err)
 		os.Exit(2)
 	}
 	if err := run(); err != nil {
@@ -27,16 +24,32 @@
 	}
 }
 
+// tools becomes the program that has all other commands. This one serves and links none of them.
+func tools() error {
+	path, err := config.ToolsPath(os.Getenv)
+	if err != nil {
+		return err
+	}
+	args := append([]string{"micafront"}, os.Args[1:]...)
+	return fmt.Errorf("commands are in %s: %w", path, syscall.Exec(path, args, os.Environ()))
+}
+
 func run() error {
 	// Before all else: until then a signal would end the program by its default action, SIGHUP too.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	form, level, err := logging.Parse(os.Getenv("MICAFRONT_LOG"))
+	if err != nil {
+		return fmt.Errorf("MICAFRONT_LOG: %w", err)
+	}
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
 	limit(c)
-	p, err := proxy.New(c, os.Stderr)
+	log := logging.New(os.Stderr, form, level)
+	defer log.Close()
+	p, err := proxy.New(c, log)
 	if err != nil {
 		return err
 	}
@@ -44,7 +57,7 @@
 		for s := range signals {
 			switch s {
 			case syscall.SIGUSR1:
-				_ = p.Print(os.Stderr)
+				_ = p.Print(log)
 			case syscall.SIGHUP:
 				c = reload(p, c)
 			default:
@@ -53,9 +66,12 @@
 		}
 	}()
 	if at := p.Operator(); at != "" {
-		fmt.Fprintf(os.Stderr, "micafront: operators call at %s\n", at)
+		log.Info("micafront: operators call at " + at)
+	}
+	for name, at := range p.Further() {
+		log.Info("micafront: listener " + name + " is at " + at)
 	}
-	fmt.Fprintf(os.Stderr, "micafront: %s serves at %s\n", c.Name, p.Addr())
+	log.Info("micafront: " + c.Name + " serves at " + p.Addr())
 	return p.Run()
 }
 
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -10,90 +10,84 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
 )
 
-func equal(t *testing.T, what string, want, got any) {
-	t.Helper()
-	if d := cmp.Diff(want, got); d != "" {
-		t.Errorf("%s (-want +got):\n%s", what, d)
-	}
-}
-
 // one starts the program with a single next hop, fleet with several, which share the channel of what comes.
-func one(t *testing.T, change ...func(*world)) (*world, chan *peer) {
+func one(t *testing.T, change ...func(*world)) (*world, chan *standin.Peer) {
 	t.Helper()
 	return fleet(t, 1, change...)
 }
 
-func fleet(t *testing.T, n int, change ...func(*world)) (*world, chan *peer) {
+func fleet(t *testing.T, n int, change ...func(*world)) (*world, chan *standin.Peer) {
 	t.Helper()
-	conns := make(chan *peer, 64)
+	conns := make(chan *standin.Peer, 64)
 	var entries []string
 	for i := range n {
-		h := newHop(t, fmt.Sprintf("s-%d", i+1), conns)
-		entries = append(entries, entry(h.id, h.addr, "in_service"))
+		h := standin.NewHop(t, fmt.Sprintf("s-%d", i+1), conns)
+		entries = append(entries, entry(h.ID, h.Addr, "in_service"))
 	}
-	return start(t, list(1, true, entries...), change...), conns
+	return start(t, standin.List(1, true, entries...), change...), conns
 }
 
 func TestFirstLineAndRelay(t *testing.T) {
 	w, conns := one(t)
 	c := w.dial()
-	c.say("PING\r\n")
-	equal(t, "readiness", "PONG", c.line())
+	c.Say("PING\r\n")
+	Equal(t, "readiness", "PONG", c.Line())
 	for _, part := range []string{"OPEN 9b1f 7f", "3a c=feed,x=1,d=600", "00,g=5c\r", "\n"} {
-		c.say(part)
+		c.Say(part)
 	}
-	s := await(t, conns)
-	first := s.line()
+	s := standin.Await(t, conns)
+	first := s.Line()
 	// d states how long the proxy waits, all else is as it came.
 	if !regexp.MustCompile(`^OPEN 9b1f 7f3a c=feed,x=1,d=[1-5]\d{4},g=5c$`).MatchString(first) {
 		t.Errorf("first line %q", first)
 	}
-	s.say("UP r1\r\nnews 1\r\nhalf")
-	equal(t, "answer", []string{"UP r1", "news 1"}, []string{c.line(), c.line()})
-	c.say("M 1\r\nM 2\r\nM")
-	c.say(" 3\r\n")
-	equal(t, "to next hop", []string{"M 1", "M 2", "M 3"}, []string{s.line(), s.line(), s.line()})
+	s.Say("UP r1\r\nnews 1\r\nhalf")
+	Equal(t, "answer", []string{"UP r1", "news 1"}, []string{c.Line(), c.Line()})
+	c.Say("M 1\r\nM 2\r\nM")
+	c.Say(" 3\r\n")
+	Equal(t, "to next hop", []string{"M 1", "M 2", "M 3"}, []string{s.Line(), s.Line(), s.Line()})
 	// The client ends its sending: what it sent and what the next hop still says both arrive.
-	c.say("last")
+	c.Say("last")
 	c.CloseWrite()
-	equal(t, "to next hop at the end", "last|EOF", s.line())
-	s.say(" done\r\nBYE\r\n")
+	Equal(t, "to next hop at the end", "last|EOF", s.Line())
+	s.Say(" done\r\nBYE\r\n")
 	s.Close()
-	equal(t, "after half-close", []string{"half done", "BYE", "EOF"}, []string{c.line(), c.line(), c.line()})
+	Equal(t, "after half-close", []string{"half done", "BYE", "EOF"}, []string{c.Line(), c.Line(), c.Line()})
 	w.counts("open=0")
 }
 
 // A next hop's answers each end the attempt by PROTOCOL's table, and another next hop gets the next one, after
 // the first connection has been closed.
 func TestOutcomes(t *testing.T) {
-	for name, act := range map[string]func(*peer){
-		"outcome_full":      func(s *peer) { s.say("BUSY\r\n") },
-		"outcome_error":     func(s *peer) { s.say("ERR\r\n") },
-		"bad_lines":         func(s *peer) { s.say("NO\r\n") },
-		"overlong":          func(s *peer) { s.say(strings.Repeat("x", 5000)) },
-		"outcome_cancelled": func(s *peer) { s.say("MO"); s.say("VE\r\n") },
-		"outcome_reset":     func(s *peer) { s.Close() },
+	for name, act := range map[string]func(*standin.Peer){
+		"outcome_full":      func(s *standin.Peer) { s.Say("BUSY\r\n") },
+		"outcome_error":     func(s *standin.Peer) { s.Say("ERR\r\n") },
+		"bad_lines":         func(s *standin.Peer) { s.Say("NO\r\n") },
+		"overlong":          func(s *standin.Peer) { s.Say(strings.Repeat("x", 5000)) },
+		"outcome_cancelled": func(s *standin.Peer) { s.Say("MO"); s.Say("VE\r\n") },
+		"outcome_reset":     func(s *standin.Peer) { s.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			conns := make(chan *peer, 64)
-			a, b := newHop(t, "s-1", conns), newHop(t, "s-2", conns)
-			w := start(t, list(1, true, entry(a.id, a.addr, "in_service"), entry(b.id, b.addr, "in_service")))
+			conns := make(chan *standin.Peer, 64)
+			a, b := standin.NewHop(t, "s-1", conns), standin.NewHop(t, "s-2", conns)
+			w := start(t, standin.List(1, true, entry(a.ID, a.Addr, "in_service"), entry(b.ID, b.Addr, "in_service")))
 			c := w.dial()
-			c.say("OPEN id key c=feed,d=60000\r\n")
-			s := await(t, conns)
-			s.line()
+			c.Say("OPEN id key c=feed,d=60000\r\n")
+			s := standin.Await(t, conns)
+			s.Line()
 			act(s)
-			next := await(t, conns)
-			next.line()
+			next := standin.Await(t, conns)
+			next.Line()
 			if s.LocalAddr().String() == next.LocalAddr().String() {
 				t.Error("both attempts at one next hop")
 			}
-			next.say("UP r\r\n")
-			equal(t, "answer", "UP r", c.line())
+			next.Say("UP r\r\n")
+			Equal(t, "answer", "UP r", c.Line())
 			w.counts(name + "=1")
 			w.counts("attempts=2")
 		})
@@ -109,39 +103,39 @@
 		"OPEN i\x00d key c=feed,d=5\r\n", strings.Repeat("x", 4097),
 	} {
 		c := w.dial()
-		c.say(in)
-		equal(t, fmt.Sprintf("answer to %.40q", in), []string{"ERR SYNTAX", "EOF"},
-			[]string{c.line(), c.line()})
+		c.Say(in)
+		Equal(t, fmt.Sprintf("answer to %.40q", in), []string{"ERR SYNTAX", "EOF"},
+			[]string{c.Line(), c.Line()})
 	}
 	w.counts("bad_lines=11")
 	w.counts("overlong=1")
 	// A next hop that is not in the transport map cannot hold a connection from before.
 	c := w.dial()
-	c.say("OPEN id key c=feed,d=60000,at=s-9\r\n")
-	equal(t, "unknown holder", "ERR", c.line())
+	c.Say("OPEN id key c=feed,d=60000,at=s-9\r\n")
+	Equal(t, "unknown holder", "ERR", c.Line())
 }
 
 // A request that the module has given up on is answered at once, not when its time is nearly up, and told when
 // to come again.
 func TestRefusedAtOnce(t *testing.T) {
-	w := start(t, list(1, true))
+	w := start(t, standin.List(1, true))
 	c := w.dial()
-	c.say("OPEN id key c=feed,d=3600000\r\n")
-	if got := c.line(); !regexp.MustCompile(`^BUSY [1-9]\d*$`).MatchString(got) {
+	c.Say("OPEN id key c=feed,d=3600000\r\n")
+	if got := c.Line(); !regexp.MustCompile(`^BUSY [1-9]\d*$`).MatchString(got) {
 		t.Errorf("answer %q", got)
 	}
-	equal(t, "end", "EOF", c.line())
+	Equal(t, "end", "EOF", c.Line())
 }
 
 // A client that leaves before its answer takes its attempt along.
 func TestClientGone(t *testing.T) {
 	w, conns := one(t)
 	c := w.dial()
-	c.say("OPEN id key c=feed,d=60000\r\n")
-	s := await(t, conns)
-	s.line()
+	c.Say("OPEN id key c=feed,d=60000\r\n")
+	s := standin.Await(t, conns)
+	s.Line()
 	c.Close()
-	equal(t, "attempt", "EOF", s.line())
+	Equal(t, "attempt", "EOF", s.Line())
 	w.counts("client_gone=1")
 	w.counts("outcome_cancelled=1")
 }
@@ -149,17 +143,17 @@
 func TestStandingConnection(t *testing.T) {
 	w, conns := one(t)
 	c := w.dial()
-	c.say("OPEN id key c=feed,d=60000,at=s-1\r\n")
-	s := await(t, conns)
-	s.line()
+	c.Say("OPEN id key c=feed,d=60000,at=s-1\r\n")
+	s := standin.Await(t, conns)
+	s.Line()
 	s.Close() // tried again
-	s = await(t, conns)
-	s.line()
-	s.say("UP r\r\n")
-	equal(t, "answer", "UP r", c.line())
+	s = standin.Await(t, conns)
+	s.Line()
+	s.Say("UP r\r\n")
+	Equal(t, "answer", "UP r", c.Line())
 	s.SetLinger(0)
 	s.Close()
-	equal(t, "ended in the same manner", "RST", c.line())
+	Equal(t, "ended in the same manner", "RST", c.Line())
 }
 
 // Where delays are told and loads are not, LOAD carries a message's milliseconds: a next hop far over the aim
@@ -171,15 +165,15 @@
 	c, s := w.connect(conns, "key")
 	// What makes no sense is passed on, and moves nobody.
 	absurd := []string{"LOAD 1e12", "LOAD -5", "LOAD NaN", "LOAD", "LOAD x"}
-	s.say(strings.Join(absurd, "\r\n") + "\r\n")
+	s.Say(strings.Join(absurd, "\r\n") + "\r\n")
 	for _, l := range absurd {
-		equal(t, "absurd", l, c.line())
+		Equal(t, "absurd", l, c.Line())
 	}
 	w.counts("absurd_loads=5")
-	s.say("a\r\nLOAD 3000\r\nb")
-	equal(t, "whole lines, then the move", []string{"a", "LOAD 3000", "MOVE"},
-		[]string{c.line(), c.line(), c.line()})
-	equal(t, "end", "EOF", c.line())
+	s.Say("a\r\nLOAD 3000\r\nb")
+	Equal(t, "whole lines, then the move", []string{"a", "LOAD 3000", "MOVE"},
+		[]string{c.Line(), c.Line(), c.Line()})
+	Equal(t, "end", "EOF", c.Line())
 	w.counts("moves=1")
 }
 
@@ -194,9 +188,9 @@
 			t.Parallel()
 			w, conns := fleet(t, 5, func(w *world) { w.extra = extra }) // with room for who is moved
 			c, s := w.connect(conns, "key")
-			c.say("M 1\r\n")
-			equal(t, "to next hop", "M 1", s.line())
-			equal(t, "moved", []string{"MOVE", "EOF"}, []string{c.line(), c.line()})
+			c.Say("M 1\r\n")
+			Equal(t, "to next hop", "M 1", s.Line())
+			Equal(t, "moved", []string{"MOVE", "EOF"}, []string{c.Line(), c.Line()})
 			w.counts(counter + "=1")
 		})
 	}
@@ -207,16 +201,16 @@
 	w, conns := one(t)
 	c, s := w.connect(conns, "key")
 	const lines = 1 << 16
-	for _, d := range []struct{ from, to *peer }{{c, s}, {s, c}} {
+	for _, d := range []struct{ from, to *standin.Peer }{{c, s}, {s, c}} {
 		go func() {
 			for i := range lines {
 				fmt.Fprintf(d.from, "%064d\r\n", i)
 			}
 		}()
 	}
-	for _, p := range []*peer{c, s} { // the second waits until the first has had everything
+	for _, p := range []*standin.Peer{c, s} { // the second waits until the first has had everything
 		for i := range lines {
-			if got, want := p.line(), fmt.Sprintf("%064d", i); got != want {
+			if got, want := p.Line(), fmt.Sprintf("%064d", i); got != want {
 				t.Fatalf("line %d: %q", i, got)
 			}
 		}
@@ -225,33 +219,33 @@
 
 // Discovery's watch may end, answer nonsense, or come in pieces: the proxy asks again and follows.
 func TestTransportMap(t *testing.T) {
-	conns := make(chan *peer, 64)
-	h := newHop(t, "s-7", conns)
-	w := start(t, list(41, true))
-	equal(t, "watch", "watch=1&from=41", await(t, w.watches))
-	w.lists <- ""
-	equal(t, "after its end", "watch=1&from=41", await(t, w.watches))
-	w.lists <- `{"generation":42,"reset":false,"instances":[{"instanceId":"s-7","lifecycle":"odd"}]}`
-	equal(t, "after nonsense", "watch=1&from=41", await(t, w.watches))
-	w.lists <- list(43, false, entry(h.id, h.addr, "in_service"))
+	conns := make(chan *standin.Peer, 64)
+	h := standin.NewHop(t, "s-7", conns)
+	w := start(t, standin.List(41, true))
+	Equal(t, "watch", "watch=1&from=41", standin.Await(t, w.Watches))
+	w.Lists <- ""
+	Equal(t, "after its end", "watch=1&from=41", standin.Await(t, w.Watches))
+	w.Lists <- `{"generation":42,"reset":false,"instances":[{"instanceId":"s-7","lifecycle":"odd"}]}`
+	Equal(t, "after nonsense", "watch=1&from=41", standin.Await(t, w.Watches))
+	w.Lists <- standin.List(43, false, entry(h.ID, h.Addr, "in_service"))
 	w.counts("list_changes=1")
 	w.counts("list_broken=1")
-	w.lists <- ""
-	equal(t, "after a change", "watch=1&from=43", await(t, w.watches))
+	w.Lists <- ""
+	Equal(t, "after a change", "watch=1&from=43", standin.Await(t, w.Watches))
 	// The table follows at the next epoch; until then requests are refused.
-	for got := ""; got != "UP r"; got = w.dial().ask(conns) {
+	for got := ""; got != "UP r"; got = ask(w.dial(), conns) {
 	}
 }
 
 // ask opens a connection and reads the answer, while a next hop may have to give it first.
-func (p *peer) ask(conns chan *peer) string {
-	p.say(opening("key"))
+func ask(p *standin.Peer, conns chan *standin.Peer) string {
+	p.Say(opening("key"))
 	got := make(chan string, 1)
-	go func() { got <- p.line() }()
+	go func() { got <- p.Line() }()
 	select {
 	case s := <-conns:
-		s.line()
-		s.say("UP r\r\n")
+		s.Line()
+		s.Say("UP r\r\n")
 		return <-got
 	case l := <-got:
 		p.Close() // many may ask in vain
@@ -264,11 +258,11 @@
 	c, _ := w.connect(conns, "a")
 	w.cmd.Process.Signal(syscall.SIGTERM)
 	late, _ := w.connect(conns, "b") // arrivals go on for a while
-	for _, p := range []*peer{c, late} {
-		equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.line(), p.line()})
+	for _, p := range []*standin.Peer{c, late} {
+		Equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.Line(), p.Line()})
 		p.Close()
 	}
-	if err := await(t, w.exited); err != nil {
+	if err := standin.Await(t, w.exited); err != nil {
 		t.Errorf("exit: %v", err)
 	}
 	w.until("moves_stop=2")
@@ -278,8 +272,8 @@
 // lines, and loses none of them.
 func TestStopUnderLoad(t *testing.T) {
 	w, conns := fleet(t, 3)
-	next := newDiscovery(t)
-	type pair struct{ c, s *peer }
+	next := standin.NewDiscovery(t)
+	type pair struct{ c, s *standin.Peer }
 	var all []pair
 	add := func(n int) {
 		for range n {
@@ -288,23 +282,23 @@
 		}
 	}
 	add(150)
-	await(t, w.watches)
-	w.reload(w.discovery.addr, next.addr)
-	await(t, next.watches)
+	standin.Await(t, w.Watches)
+	w.reload(w.Discovery.Addr, next.Addr)
+	standin.Await(t, next.Watches)
 	for i, p := range all {
-		p.s.say(fmt.Sprintf("last %d\r\nhalf", i))
+		p.s.Say(fmt.Sprintf("last %d\r\nhalf", i))
 	}
 	w.cmd.Process.Signal(syscall.SIGTERM)
 	early := len(all)
 	add(5)
 	for i, p := range all {
 		if i < early {
-			equal(t, "before the move", fmt.Sprint("last ", i), p.c.line())
+			Equal(t, "before the move", fmt.Sprint("last ", i), p.c.Line())
 		}
-		equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.c.line(), p.c.line()})
+		Equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.c.Line(), p.c.Line()})
 		p.c.Close()
 	}
-	if err := await(t, w.exited); err != nil {
+	if err := standin.Await(t, w.exited); err != nil {
 		t.Errorf("exit: %v", err)
 	}
 	w.until("moves_stop=155")
@@ -312,25 +306,25 @@
 
 // passThrough starts the program where packets pass through, with a client whom other proxies will look for where it
 // is, and one whom its first next hop turned away.
-func passThrough(t *testing.T, change ...func(*world)) (w *world, client, server, astray *peer) {
+func passThrough(t *testing.T, change ...func(*world)) (w *world, client, server, astray *standin.Peer) {
 	t.Helper()
-	conns := make(chan *peer, 64)
-	near, far := newHop(t, "s-1", conns), newHop(t, "s-2", conns)
-	w = start(t, list(1, true, entry(near.id, near.addr, "in_service"),
-		strings.Replace(entry(far.id, far.addr, "in_service"), `"zone":"a"`, `"zone":"b"`, 1)),
+	conns := make(chan *standin.Peer, 64)
+	near, far := standin.NewHop(t, "s-1", conns), standin.NewHop(t, "s-2", conns)
+	w = start(t, standin.List(1, true, entry(near.ID, near.Addr, "in_service"),
+		strings.Replace(entry(far.ID, far.Addr, "in_service"), `"zone":"a"`, `"zone":"b"`, 1)),
 		append(change, func(w *world) { w.extra = `"FamilyInfo":{"Mode":"pass"},` })...)
 	w.hopConns = conns
 	client, server = w.connect(conns, "key")
-	equal(t, "in the proxy's zone", near.addr, server.LocalAddr().String())
+	Equal(t, "in the proxy's zone", near.Addr, server.LocalAddr().String())
 	astray = w.dial()
-	astray.say(opening("key2"))
-	first := await(t, conns)
-	first.line()
-	first.say("ERR\r\n")
-	at := await(t, conns)
-	at.line()
-	at.say("UP r\r\n")
-	equal(t, "answer", "UP r", astray.line())
+	astray.Say(opening("key2"))
+	first := standin.Await(t, conns)
+	first.Line()
+	first.Say("ERR\r\n")
+	at := standin.Await(t, conns)
+	at.Line()
+	at.Say("UP r\r\n")
+	Equal(t, "answer", "UP r", astray.Line())
 	return w, client, server, astray
 }
 
@@ -339,11 +333,11 @@
 func TestStopWherePacketsPass(t *testing.T) {
 	w, c, s, astray := passThrough(t)
 	w.cmd.Process.Signal(syscall.SIGTERM)
-	equal(t, "moved", []string{"MOVE", "EOF"}, []string{astray.line(), astray.line()})
-	c.say("M 1\r\n")
-	equal(t, "still relayed", "M 1", s.line())
+	Equal(t, "moved", []string{"MOVE", "EOF"}, []string{astray.Line(), astray.Line()})
+	c.Say("M 1\r\n")
+	Equal(t, "still relayed", "M 1", s.Line())
 	c.Close()
-	if err := await(t, w.exited); err != nil {
+	if err := standin.Await(t, w.exited); err != nil {
 		t.Errorf("exit: %v", err)
 	}
 	w.until("moves_stop=1")
@@ -354,10 +348,10 @@
 	if status, _ := w.call("PUT", "/api/evacuate"); status != 200 {
 		t.Errorf("status %d", status)
 	}
-	equal(t, "drained", "ERR DRAINED", w.ping())
-	equal(t, "moved", []string{"MOVE", "EOF"}, []string{astray.line(), astray.line()})
-	c.say("M 1\r\n")
-	equal(t, "still relayed", "M 1", s.line())
+	Equal(t, "drained", "ERR DRAINED", w.ping())
+	Equal(t, "moved", []string{"MOVE", "EOF"}, []string{astray.Line(), astray.Line()})
+	c.Say("M 1\r\n")
+	Equal(t, "still relayed", "M 1", s.Line())
 }
 
 // SIGHUP ended the program. It reads the configuration again: a bad one changes nothing; a new discovery is asked
@@ -365,40 +359,40 @@
 func TestReload(t *testing.T) {
 	w, conns := one(t)
 	c, s := w.connect(conns, "a")
-	await(t, w.watches)
-	w.lists <- list(2, false)
+	standin.Await(t, w.Watches)
+	w.Lists <- standin.List(2, false)
 	w.reload(`"known":{`, `"known":[{`)
 	w.until("configuration not taken")
 	w.reload(`"known":[{`, `"known":{`)
 	w.counts("reloads=1")
-	next := newDiscovery(t)
-	w.reload(w.discovery.addr, next.addr)
-	equal(t, "asked for", "watch=1&from=0", await(t, next.watches))
+	next := standin.NewDiscovery(t)
+	w.reload(w.Discovery.Addr, next.Addr)
+	Equal(t, "asked for", "watch=1&from=0", standin.Await(t, next.Watches))
 	// Until the new one speaks, the old one is heard.
-	h := newHop(t, "s-2", conns)
-	w.lists <- list(3, false, entry("s-2", h.addr, "in_service"))
+	h := standin.NewHop(t, "s-2", conns)
+	w.Lists <- standin.List(3, false, entry("s-2", h.Addr, "in_service"))
 	w.counts("list_changes=2")
-	next.lists <- list(1, true, entry("s-2", h.addr, "in_service"))
+	next.Lists <- standin.List(1, true, entry("s-2", h.Addr, "in_service"))
 	w.counts("lists=2") // the one in the configuration and this
-	w.lists <- list(4, false)
-	w.lists <- ""
-	next.lists <- ""
-	equal(t, "asked again", "watch=1&from=1", await(t, next.watches))
+	w.Lists <- standin.List(4, false)
+	w.Lists <- ""
+	next.Lists <- ""
+	Equal(t, "asked again", "watch=1&from=1", standin.Await(t, next.Watches))
 	w.counts("list_changes=2")
 	w.counts("list_failures=1")
 	w.counts("reload_errors=1")
 	// The table follows at the next epoch; until then requests are refused.
-	for got := ""; got != "UP r"; got = w.dial().ask(conns) {
+	for got := ""; got != "UP r"; got = ask(w.dial(), conns) {
 	}
-	c.say("M 1\r\n")
-	equal(t, "a connection from before", "M 1", s.line())
+	c.Say("M 1\r\n")
+	Equal(t, "a connection from before", "M 1", s.Line())
 }
 
 // Bad clients get one definite answer at once, and nothing of theirs reaches a next hop.
 func TestBadClients(t *testing.T) {
 	w, conns := one(t)
 	c, s := w.connect(conns, "a")
-	id := fmt.Sprintf("id%d", lastID.Load())
+	id := standin.ID(0)
 	for counter, in := range map[string]string{
 		"unknown_class": "OPEN x1 key c=feed2,d=60000\r\n",
 		"same_id":       "OPEN " + id + " key c=feed,d=60000\r\n",
@@ -406,30 +400,30 @@
 		"bad_lines":     "OPEN x2 ke", // half a command and its end
 	} {
 		bad := w.dial()
-		bad.say(in)
+		bad.Say(in)
 		if counter == "bad_lines" {
 			bad.CloseWrite()
 		}
-		equal(t, counter, []string{"ERR SYNTAX", "EOF"}, []string{bad.line(), bad.line()})
+		Equal(t, counter, []string{"ERR SYNTAX", "EOF"}, []string{bad.Line(), bad.Line()})
 		w.counts(counter + "=1")
 	}
 	pings := w.dial()
-	pings.say(strings.Repeat("PING\r\n", 100))
+	pings.Say(strings.Repeat("PING\r\n", 100))
 	for range 8 {
-		equal(t, "readiness", "PONG", pings.line())
+		Equal(t, "readiness", "PONG", pings.Line())
 	}
-	equal(t, "too many", []string{"ERR SYNTAX", "EOF"}, []string{pings.line(), pings.line()})
+	Equal(t, "too many", []string{"ERR SYNTAX", "EOF"}, []string{pings.Line(), pings.Line()})
 	// What comes before the answer is an error too: the attempt ends, the next hop hears nothing of the rest.
 	early := w.dial()
-	early.say(opening("b"))
-	at := await(t, conns)
-	at.line()
-	early.say("M 1\r\n")
-	equal(t, "early", []string{"ERR SYNTAX", "EOF"}, []string{early.line(), early.line()})
-	equal(t, "its attempt", "EOF", at.line())
+	early.Say(opening("b"))
+	at := standin.Await(t, conns)
+	at.Line()
+	early.Say("M 1\r\n")
+	Equal(t, "early", []string{"ERR SYNTAX", "EOF"}, []string{early.Line(), early.Line()})
+	Equal(t, "its attempt", "EOF", at.Line())
 	w.counts("attempts=2")
-	c.say("M 1\r\n")
-	equal(t, "the other client", "M 1", s.line())
+	c.Say("M 1\r\n")
+	Equal(t, "the other client", "M 1", s.Line())
 }
 
 // A client that is still sending must hear why it is turned away: closed with its bytes unread, its connection would
@@ -450,10 +444,10 @@
 		sent <- nil
 	}()
 	w.connect(conns, "a")
-	if err := await(t, sent); err != nil {
+	if err := standin.Await(t, sent); err != nil {
 		t.Errorf("cut off while sending: %v", err)
 	}
-	equal(t, "answer", []string{"ERR SYNTAX", "EOF"}, []string{huge.line(), huge.line()})
+	Equal(t, "answer", []string{"ERR SYNTAX", "EOF"}, []string{huge.Line(), huge.Line()})
 }
 
 // Clients that have had their error and stay must not keep out one that has only just connected.
@@ -461,8 +455,8 @@
 	w, conns := one(t, func(w *world) { w.sockets = 96 })
 	for range 60 {
 		p := w.dial()
-		p.say("X\r\n")
-		equal(t, "answer", "ERR SYNTAX", p.line())
+		p.Say("X\r\n")
+		Equal(t, "answer", "ERR SYNTAX", p.Line())
 	}
 	w.connect(conns, "key")
 }
@@ -473,22 +467,22 @@
 	w, conns := one(t, func(w *world) { w.sockets = 96 })
 	trickle, began := w.dial(), time.Now()
 	go func() {
-		for trickle.t.Context().Err() == nil {
+		for t.Context().Err() == nil {
 			if _, err := io.WriteString(trickle, "O"); err != nil {
 				return
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
 	}()
-	equal(t, "who trickles", "ERR SYNTAX", trickle.line())
+	Equal(t, "who trickles", "ERR SYNTAX", trickle.Line())
 	if took := time.Since(began); took > 10*time.Second { // 2.5 s, on however slow a machine
 		t.Errorf("who trickles was kept for %v", took)
 	}
-	var crowd []*peer
+	var crowd []*standin.Peer
 	for i := range 300 {
 		p := w.dial()
 		if crowd = append(crowd, p); i%3 == 0 {
-			p.say("PING\r\n")
+			p.Say("PING\r\n")
 		}
 		if i%50 == 0 {
 			w.connect(conns, fmt.Sprint(i))
@@ -496,9 +490,9 @@
 	}
 	for i, p := range crowd {
 		if i%3 == 0 {
-			p.line() // PONG, or the end
+			p.Line() // PONG, or the end
 		}
-		for l := p.line(); l != "EOF" && l != "RST"; l = p.line() {
+		for l := p.Line(); l != "EOF" && l != "RST"; l = p.Line() {
 		}
 	}
 	w.counts("open=6")
@@ -510,7 +504,7 @@
 // Running out of descriptors must not end the proxy: gnet's own acceptor would.
 func TestOutOfDescriptors(t *testing.T) {
 	w, conns := one(t, func(w *world) { w.sockets = 48 })
-	var idle []*peer
+	var idle []*standin.Peer
 	for range 100 {
 		idle = append(idle, w.dial())
 	}
--- a/cmd/micafront/operator_test.go
+++ b/cmd/micafront/operator_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
 )
 
 // withStaff has the program listen for operators.
@@ -25,7 +28,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := http.Client{Timeout: standin.Patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := c.Do(req)
 	if err != nil {
 		w.t.Fatal(err)
@@ -42,7 +45,7 @@
 func (w *world) figures(want map[string]string) {
 	w.t.Helper()
 	var diff string
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(standin.Patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		_, body := w.call("GET", "/api/telemetry")
 		got := map[string]string{}
 		for _, l := range strings.Split(strings.TrimSpace(body), "\n") {
@@ -62,8 +65,8 @@
 	w.t.Helper()
 	c := w.dial()
 	defer c.Close()
-	c.say("PING\r\n")
-	return c.line()
+	c.Say("PING\r\n")
+	return c.Line()
 }
 
 func TestOperatorCalls(t *testing.T) {
@@ -78,7 +81,7 @@
 	} {
 		method, path, _ := strings.Cut(c.call, " ")
 		status, _ := w.call(method, path)
-		equal(t, c.call, c.status, status)
+		Equal(t, c.call, c.status, status)
 	}
 	for in, want := range map[string]string{
 		"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n":                                         "200",
@@ -99,31 +102,31 @@
 				}
 			}
 		}()
-		equal(t, fmt.Sprintf("status of %.60q", in), want, strings.Fields(c.line())[1])
+		Equal(t, fmt.Sprintf("status of %.60q", in), want, strings.Fields(c.Line())[1])
 	}
 	half := w.callers()
-	half.say("GET /api/ready HT")
+	half.Say("GET /api/ready HT")
 	half.CloseWrite()
-	equal(t, "half a call and its end", "HTTP/1.1 400 Bad Request", half.line())
+	Equal(t, "half a call and its end", "HTTP/1.1 400 Bad Request", half.Line())
 }
 
 // callers connects as an operator does.
-func (w *world) callers() *peer {
+func (w *world) callers() *standin.Peer {
 	w.t.Helper()
 	c, err := net.Dial("tcp", w.staff)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	return newPeer(w.t, c)
+	return standin.NewPeer(w.t, c)
 }
 
 // Callers who finish nothing and clients who take every descriptor must not shut staff out.
 func TestOperatorAmidFlood(t *testing.T) {
 	w, _ := one(t, withStaff, func(w *world) { w.sockets = 48 })
-	var stuck []*peer
+	var stuck []*standin.Peer
 	for range 40 {
 		c := w.callers()
-		c.say("GET /api/re")
+		c.Say("GET /api/re")
 		stuck = append(stuck, c)
 	}
 	stop := make(chan bool)
@@ -147,10 +150,10 @@
 	}
 	for range 100 {
 		status, _ := w.call("GET", "/api/ready")
-		equal(t, "amid the flood", 200, status)
+		Equal(t, "amid the flood", 200, status)
 	}
 	// The eldest went, and the freshest are still waited for.
-	equal(t, "eldest", "EOF", stuck[0].line())
+	Equal(t, "eldest", "EOF", stuck[0].Line())
 	if _, body := w.call("GET", "/api/telemetry"); !regexp.MustCompile(`(?m)^svc\.pending=[1-9]`).MatchString(body) {
 		t.Errorf("no flood: %s", body)
 	}
@@ -161,34 +164,34 @@
 	w, conns := one(t, withStaff)
 	c, s := w.connect(conns, "a")
 	failed := w.dial()
-	failed.say(opening("b"))
-	at := await(t, conns)
-	at.line()
+	failed.Say(opening("b"))
+	at := standin.Await(t, conns)
+	at.Line()
 	w.figures(map[string]string{"svc.pending": "2", "svc.upstream_requests": "2", "svc.members": "1",
 		"svc.members_unavailable": "0", "svc.downstream_requests.feed.completed": "1"})
-	failed.say("too early\r\n")
-	equal(t, "failed", "ERR SYNTAX", failed.line())
+	failed.Say("too early\r\n")
+	Equal(t, "failed", "ERR SYNTAX", failed.Line())
 	refused := w.dial()
-	refused.say(opening("c"))
-	at = await(t, conns)
-	at.line()
-	at.say("BUSY\r\n")
-	if l := refused.line(); !strings.HasPrefix(l, "BUSY ") {
+	refused.Say(opening("c"))
+	at = standin.Await(t, conns)
+	at.Line()
+	at.Say("BUSY\r\n")
+	if l := refused.Line(); !strings.HasPrefix(l, "BUSY ") {
 		t.Errorf("answer %q", l)
 	}
 	bad := w.dial()
-	bad.say("OPEN x k c=none,d=5000\r\n")
-	equal(t, "not taken", "ERR SYNTAX", bad.line())
+	bad.Say("OPEN x k c=none,d=5000\r\n")
+	Equal(t, "not taken", "ERR SYNTAX", bad.Line())
 	w.reload(`"known":{`, `"known":[{`)
 	w.until("configuration not taken")
 	w.reload(`"known":[{`, `"known":{`)
 	c.Close()
-	equal(t, "its end", "EOF", s.line())
-	for _, p := range []*peer{failed, refused, bad} {
+	Equal(t, "its end", "EOF", s.Line())
+	for _, p := range []*standin.Peer{failed, refused, bad} {
 		p.Close()
 	}
-	await(t, w.watches)
-	w.lists <- list(2, false, entry("s-1", "", "terminating"), entry("s-2", "127.0.0.1:1", "in_service"))
+	standin.Await(t, w.Watches)
+	w.Lists <- standin.List(2, false, entry("s-1", "", "terminating"), entry("s-2", "127.0.0.1:1", "in_service"))
 	w.figures(map[string]string{"svc.pending": "0", "svc.upstream_requests": "3", "svc.members": "2",
 		"svc.members_unavailable": "1", "svc.config_reloads": "1", "svc.config_reload_errors": "1",
 		"svc.downstream_requests.feed.completed": "1", "svc.downstream_requests.feed.rejected": "1",
@@ -203,27 +206,27 @@
 		t.Helper()
 		for range 2 {
 			status, _ := w.call("PUT", path)
-			equal(t, path, 200, status)
+			Equal(t, path, 200, status)
 		}
 	}
-	moved := func(p *peer) {
+	moved := func(p *standin.Peer) {
 		t.Helper()
-		equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.line(), p.line()})
+		Equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.Line(), p.Line()})
 	}
 	early, _ := w.connect(conns, "a")
-	equal(t, "before", "PONG", w.ping())
+	Equal(t, "before", "PONG", w.ping())
 	put("/api/evacuate")
-	equal(t, "drained", "ERR DRAINED", w.ping())
+	Equal(t, "drained", "ERR DRAINED", w.ping())
 	moved(early)
 	late, _ := w.connect(conns, "b")
 	moved(late)
 	status, _ := w.call("GET", "/api/ready")
-	equal(t, "the process serves", 200, status)
+	Equal(t, "the process serves", 200, status)
 	put("/api/rejoin")
-	equal(t, "back", "PONG", w.ping())
+	Equal(t, "back", "PONG", w.ping())
 	c, s := w.connect(conns, "c")
-	c.say("M 1\r\n")
-	equal(t, "stays", "M 1", s.line())
+	c.Say("M 1\r\n")
+	Equal(t, "stays", "M 1", s.Line())
 	put("/api/evacuate")
 	put("/api/rejoin") // before anybody was moved
 	put("/api/evacuate")
@@ -232,7 +235,7 @@
 	w.cmd.Process.Signal(syscall.SIGTERM)
 	moved(last)
 	last.Close()
-	if err := await(t, w.exited); err != nil {
+	if err := standin.Await(t, w.exited); err != nil {
 		t.Errorf("exit: %v", err)
 	}
 	w.until("moves_stop=4")
@@ -263,32 +266,32 @@
 	const feed = `{"Name":"feed","Aim":30`
 	w.reload(feed, `{"Name":"notes","Aim":30,"GiveUp":60,"Credit":5,"Effect":"unsafe","DedupScope":"all"},`+feed)
 	w.figures(map[string]string{"svc.config_reloads": "1", "svc.downstream_requests.notes.completed": "0"})
-	ask := func(class, more string) (*peer, *peer) {
+	ask := func(class, more string) (*standin.Peer, *standin.Peer) {
 		c := w.dial()
-		c.say(strings.Replace(opening("b"), "c=feed", "c="+class+more, 1))
-		s := await(t, conns)
-		s.line()
+		c.Say(strings.Replace(opening("b"), "c=feed", "c="+class+more, 1))
+		s := standin.Await(t, conns)
+		s.Line()
 		return c, s
 	}
 	// One that may have run is not repeated, and not refused either.
 	c, s := ask("notes", "")
 	s.Close()
-	equal(t, "not to be repeated", "ERR", c.line())
+	Equal(t, "not to be repeated", "ERR", c.Line())
 	w.rewrite(`{"Name":"feed"`, `{"Name":"later"`)
 	w.reload(`"AttemptsCap":6`, `"AttemptsCap":1`)
 	w.figures(map[string]string{"svc.config_reloads": "2", "svc.downstream_requests.feed.completed": "1"})
 	dropped := w.dial()
-	dropped.say(opening("c"))
-	equal(t, "dropped", "ERR SYNTAX", dropped.line())
+	dropped.Say(opening("c"))
+	Equal(t, "dropped", "ERR SYNTAX", dropped.Line())
 	c, s = ask("feed", ",again=1") // moved by another proxy, say
-	s.say("UP r\r\n")
-	equal(t, "of a connection that was open", "UP r", c.line())
-	first.say("M 1\r\n")
-	equal(t, "still relayed", "M 1", s1.line())
+	s.Say("UP r\r\n")
+	Equal(t, "of a connection that was open", "UP r", c.Line())
+	first.Say("M 1\r\n")
+	Equal(t, "still relayed", "M 1", s1.Line())
 	// One attempt, and it ended without having run: refused.
 	c, s = ask("later", "")
-	s.say("BUSY\r\n")
-	if l := c.line(); !strings.HasPrefix(l, "BUSY ") {
+	s.Say("BUSY\r\n")
+	if l := c.Line(); !strings.HasPrefix(l, "BUSY ") {
 		t.Errorf("answer %q", l)
 	}
 	w.figures(map[string]string{"svc.downstream_requests.feed.completed": "2",
--- a/cmd/micafront/upgrade_test.go
+++ b/cmd/micafront/upgrade_test.go
@@ -9,6 +9,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
 )
 
 func (w *world) completed(n int) {
@@ -19,7 +22,7 @@
 func (w *world) stopped() {
 	w.t.Helper()
 	w.cmd.Process.Signal(syscall.SIGTERM)
-	if err := await(w.t, w.exited); err != nil {
+	if err := standin.Await(w.t, w.exited); err != nil {
 		w.t.Errorf("exit: %v", err)
 	}
 }
@@ -32,40 +35,40 @@
 	dead := w.again()
 	w.until("the successor serves")
 	dead.cmd.Process.Kill()
-	await(t, dead.exited)
+	standin.Await(t, dead.exited)
 	w.until("this process goes on")
 	w.connect(conns, "b")
 	w.completed(2)
 
 	asked := w.dial()
-	asked.say(opening("e"))
-	pending := await(t, conns)
-	pending.line()
+	asked.Say(opening("e"))
+	pending := standin.Await(t, conns)
+	pending.Line()
 	next := w.again()
-	equal(t, "address", w.addr, next.addr)
+	Equal(t, "address", w.addr, next.addr)
 	w.until("the successor serves\n" + "the successor has gone, this process goes on\n" +
 		"a successor has asked for this process's place\n" + "the successor serves")
 	same := next.dial() // the id of a request that is open at the other process
-	same.say(strings.Replace(opening("x"), fmt.Sprintf("id%d ", lastID.Load()), fmt.Sprintf("id%d ", lastID.Load()-1), 1))
-	equal(t, "same id", "ERR SYNTAX", same.line())
+	same.Say(strings.Replace(opening("x"), standin.ID(0)+" ", standin.ID(1)+" ", 1))
+	Equal(t, "same id", "ERR SYNTAX", same.Line())
 	late, _ := next.connect(conns, "c")
 	next.completed(1)
 	w.completed(2)
-	c.say("M 1\r\n")
-	equal(t, "the old one relays", "M 1", s.line())
+	c.Say("M 1\r\n")
+	Equal(t, "the old one relays", "M 1", s.Line())
 	// What stands goes on, in the middle of a line; what comes up later follows.
-	s.say("whole\r\nha")
-	equal(t, "whole", "whole", c.line())
+	s.Say("whole\r\nha")
+	Equal(t, "whole", "whole", c.Line())
 	w.cmd.Process.Signal(syscall.SIGTERM)
-	pending.say("UP r\r\n")
-	equal(t, "answer", "UP r", asked.line())
-	if err := await(t, w.exited); err != nil {
+	pending.Say("UP r\r\n")
+	Equal(t, "answer", "UP r", asked.Line())
+	if err := standin.Await(t, w.exited); err != nil {
 		t.Errorf("exit: %v", err)
 	}
-	s.say("lf\r\n")
-	equal(t, "half by the one, half by the other", "half", c.line())
-	c.say("M 2\r\n")
-	equal(t, "the new one relays", "M 2", s.line())
+	s.Say("lf\r\n")
+	Equal(t, "half by the one, half by the other", "half", c.Line())
+	c.Say("M 2\r\n")
+	Equal(t, "the new one relays", "M 2", s.Line())
 	next.figures(map[string]string{"svc.pending": "4"})
 
 	last := next.again()
@@ -75,10 +78,10 @@
 	last.completed(1)
 	last.figures(map[string]string{"svc.pending": "5"})
 	last.cmd.Process.Signal(syscall.SIGTERM)
-	for _, p := range []*peer{c, late, asked} {
-		equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.line(), p.line()})
+	for _, p := range []*standin.Peer{c, late, asked} {
+		Equal(t, "moved", []string{"MOVE", "EOF"}, []string{p.Line(), p.Line()})
 	}
-	if err := await(t, last.exited); err != nil {
+	if err := standin.Await(t, last.exited); err != nil {
 		t.Errorf("exit: %v", err)
 	}
 	left, err := filepath.Glob(filepath.Join(last.temp(), "*"))
@@ -103,18 +106,18 @@
 	w, c, s, astray := passThrough(t, withStaff)
 	next := w.again()
 	w.until("the successor serves")
-	for key, held := range map[string]*peer{"key": c, "key2": astray} {
+	for key, held := range map[string]*standin.Peer{"key": c, "key2": astray} {
 		mid := next.dial()
-		mid.say(strings.Replace(opening(key), "c=feed", "c=feed,mid=1", 1))
-		at := await(t, w.hopConns)
-		at.line()
+		mid.Say(strings.Replace(opening(key), "c=feed", "c=feed,mid=1", 1))
+		at := standin.Await(t, w.hopConns)
+		at.Line()
 		if key == "key" {
-			equal(t, "holder", s.LocalAddr().String(), at.LocalAddr().String())
+			Equal(t, "holder", s.LocalAddr().String(), at.LocalAddr().String())
 		} else if at.LocalAddr().String() == s.LocalAddr().String() {
 			t.Error("not at the holder")
 		}
-		at.say("UP r\r\n")
-		equal(t, "goes on", "UP r", mid.line())
+		at.Say("UP r\r\n")
+		Equal(t, "goes on", "UP r", mid.Line())
 		held.Close()
 	}
 	w.stopped()
@@ -142,7 +145,7 @@
 				next.stopped()
 				next = w.again()
 			}
-			equal(t, "handed over", c.over, strings.Contains(w.errs.text(), "asked for this process's place"))
+			Equal(t, "handed over", c.over, strings.Contains(w.errs.text(), "asked for this process's place"))
 			w.stopped()
 			next.connect(conns, "b")
 			next.completed(1)
@@ -158,15 +161,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			conns := make(chan *peer, 64)
-			h := newHop(t, "s-1", conns)
-			w := start(t, list(1, true, entry(h.id, h.addr, "in_service")), withStaff)
+			conns := make(chan *standin.Peer, 64)
+			h := standin.NewHop(t, "s-1", conns)
+			w := start(t, standin.List(1, true, entry(h.ID, h.Addr, "in_service")), withStaff)
 			left, _ := filepath.Glob(filepath.Join(w.temp(), "*.sock"))
 			if len(left) != 1 {
 				t.Fatalf("sockets %v", left)
 			}
 			w.cmd.Process.Kill()
-			await(t, w.exited)
+			standin.Await(t, w.exited)
 			if text != "" {
 				os.Remove(left[0])
 				old, err := net.ListenUnix("unix", &net.UnixAddr{Name: left[0]})
@@ -182,7 +185,7 @@
 			if took := time.Since(began); took > 30*time.Second { // 2 s, on however slow a machine
 				t.Errorf("started after %v", took)
 			}
-			equal(t, "said why", name != "stale" && name != "silence",
+			Equal(t, "said why", name != "stale" && name != "silence",
 				strings.Contains(next.errs.text(), "taken over") || strings.Contains(next.errs.text(), "cannot be read"))
 			next.connect(conns, "a")
 			next.completed(1)
@@ -213,12 +216,12 @@
 // process again, and so does one that goes.
 func TestSuccessorInTouch(t *testing.T) {
 	w, conns := one(t, withStaff)
-	await(t, w.watches)
+	standin.Await(t, w.Watches)
 	left, _ := filepath.Glob(filepath.Join(w.temp(), "*.sock"))
 	if len(left) != 1 {
 		t.Fatalf("sockets %v", left)
 	}
-	ask := func() *net.UnixConn {
+	takePlace := func() *net.UnixConn {
 		c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: left[0]})
 		if err != nil {
 			t.Fatal(err)
@@ -233,11 +236,11 @@
 		}
 		return c
 	}
-	big := ask()
+	big := takePlace()
 	fmt.Fprintln(big, `{"open":980}`) // of 1024, and 14 more that are no connections
-	for end := time.Now().Add(patience); ; {
+	for end := time.Now().Add(standin.Patience); ; {
 		c := w.dial()
-		l := c.ask(conns)
+		l := ask(c, conns)
 		if strings.HasPrefix(l, "BUSY ") {
 			break
 		}
@@ -248,7 +251,7 @@
 	big.Close()
 	w.until("this process goes on")
 	w.connect(conns, "a")
-	fmt.Fprintln(ask(), `{"serving":true}`)
+	fmt.Fprintln(takePlace(), `{"serving":true}`)
 	w.until("the successor serves")
 	w.connect(conns, "b") // taken from the queue once the successor has been silent for a second
 }
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -36,13 +36,9 @@
 		text, err = os.ReadFile(path)
 		return text, false, err
 	}
-	tools := env(toolsEnv)
-	if tools == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return nil, true, err
-		}
-		tools = filepath.Join(filepath.Dir(self), Tools)
+	tools, err := ToolsPath(env)
+	if err != nil {
+		return nil, true, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), compileTime)
 	defer cancel()
@@ -62,6 +58,15 @@
 	return out.Bytes(), true, nil
 }
 
+// ToolsPath is where the program with all commands but serving lies.
+func ToolsPath(env func(string) string) (string, error) {
+	if path := env(toolsEnv); path != "" {
+		return path, nil
+	}
+	self, err := os.Executable()
+	return filepath.Join(filepath.Dir(self), Tools), err
+}
+
 // bounded keeps the first bytes of what is written.
 type bounded struct {
 	bytes.Buffer
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -15,6 +15,9 @@
 	Telemetry() []byte // the figures, a name=value line each
 	Evacuate()         // send clients away
 	Rejoin()           // back to work
+
+	LogLevel() string              // the least severe level that is logged
+	SetLogLevel(name string) error // to debug, info, warn or error
 }
 
 const (
@@ -159,6 +162,18 @@
 	}},
 }
 
+func init() {
+	routes["/api/log"] = route{"GET", func(p Proxy) (int, []byte) { return 200, []byte(p.LogLevel() + "\n") }}
+	for _, level := range []string{"debug", "info", "warn", "error"} {
+		routes["/api/log/"+level] = route{"PUT", func(p Proxy) (int, []byte) {
+			if err := p.SetLogLevel(level); err != nil {
+				return 400, []byte(err.Error() + "\n")
+			}
+			return 200, []byte("logged from " + level + " on\n")
+		}}
+	}
+}
+
 func (k *caller) serve(c *call) {
 	r, known := routes[c.path]
 	if !known {
--- a/internal/proxy/book.go
+++ b/internal/proxy/book.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "example.org/micafront"
+import (
+	"example.org/micafront"
+	"go.uber.org/zap"
+)
 
 // Book: the one outcome of each attempt, and the end of a flow.
 
@@ -24,6 +27,10 @@
 	case micafront.Moot:
 		p.count.OutcomeMoot++
 	}
+	if line := p.log.Check(zap.DebugLevel, "attempt over"); line != nil {
+		line.Write(zap.String("id", f.clientID), zap.String("hop", a.hop.id), zap.Int("status", int(s)),
+			zap.Duration("took", p.loop.Now()-a.sentAt))
+	}
 	f.journey.Ended(s.NeverRan())
 	p.tell(f.pool, micafront.Outcome{ID: f.id, Server: a.hop.id, Attempt: a.no, Status: s,
 		Latency: p.loop.Now() - a.sentAt, Final: f.answered})
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -42,6 +42,11 @@
 		MembersUnavailable: p.avoided()})
 }
 
+// LogLevel is the least severe level that is logged; SetLogLevel changes it (operator.Proxy).
+func (p *Proxy) LogLevel() string { return p.log.Level() }
+
+func (p *Proxy) SetLogLevel(name string) error { return p.log.SetLevel(name) }
+
 func (p *Proxy) avoided() (n int) {
 	for _, q := range p.pools {
 		n += q.module.Avoided()
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -10,6 +10,7 @@
 	"example.org/micafront"
 	"example.org/micafront/internal/registry"
 	"example.org/micafront/internal/routing"
+	"go.uber.org/zap"
 )
 
 // Pools: each has a decision module of its own. Which pool a connection belongs to, and which one has a next hop, is
@@ -191,6 +192,10 @@
 	}
 	f.table, f.pool, f.load = p.table, p.pools[f.journey.Pool], route
 	f.hold(holdsWait)
+	if line := p.log.Check(zap.DebugLevel, "routed"); line != nil {
+		line.Write(zap.String("id", f.clientID), zap.String("class", f.class), zap.String("route", p.table.Set.Routes[d.Route].Name),
+			zap.String("pool", f.pool.name), zap.String("policy", f.journey.Policy.Name))
+	}
 	return true
 }
 
@@ -214,6 +219,7 @@
 		return
 	}
 	p.count.Fallbacks++
+	p.log.Debug("refused, goes on to another pool", zap.String("id", f.clientID), zap.String("from", by.name))
 	f.enter(p.poolNamed(f.table.Set.Pools[f.journey.Pool].Name))
 	p.tell(f.pool, p.request(f))
 }
@@ -366,7 +372,7 @@
 		p.count.MovesRetired++
 		p.move(f, micafront.Cancelled)
 	}
-	if left <= 0 && q.use.Open+q.use.Waiting == 0 {
+	if len(standing) == 0 && q.use.Waiting == 0 {
 		p.gone = slices.DeleteFunc(p.gone, func(x *pool) bool { return x == q })
 		p.say(fmt.Sprintf("pool %q has no connections any more", q.name))
 		return
@@ -375,4 +381,7 @@
 }
 
 // say logs a line.
-func (p *Proxy) say(line string) { fmt.Fprintln(p.log, line) }
+func (p *Proxy) say(line string) { p.log.Info(line) }
+
+// warn logs what went wrong, and why.
+func (p *Proxy) warn(line string, err error) { p.log.Warn(line + ": " + err.Error()) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"example.org/micafront/internal/config"
 	"example.org/micafront/internal/counters"
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/logging"
 	"example.org/micafront/internal/operator"
 	"example.org/micafront/internal/registry"
 	"example.org/micafront/internal/routing"
@@ -38,7 +39,7 @@
 	delays   bool                       // a next hop's load line tells milliseconds a message, not load
 	memoryMB int                        // 0: no limit
 	sockets  int                        // descriptors that may be open; 0: as many as the system gives
-	log      io.Writer
+	log      *logging.Logger
 	count    counters.Counters
 
 	news    []news // for the modules
@@ -103,7 +104,7 @@
 }
 
 // New makes a proxy that listens but does not run yet.
-func New(c *config.Config, log io.Writer) (*Proxy, error) {
+func New(c *config.Config, log *logging.Logger) (*Proxy, error) {
 	loop, err := evloop.New()
 	if err != nil {
 		return nil, fmt.Errorf("event loop: %w", err)
@@ -207,7 +208,7 @@
 	return p.loop.Post(func() {
 		if err := c.Settings.Check(); err != nil { // the file was checked before
 			p.count.ReloadErrors++
-			fmt.Fprintln(p.log, "configuration not taken:", err)
+			p.warn("configuration not taken", err)
 			return
 		}
 		p.count.Reloads++
@@ -221,7 +222,7 @@
 			p.count.Class(class.Name)
 		}
 		p.reconfigure(c.Routes)
-		fmt.Fprintf(p.log, "configuration read again: discovery at %s\n", c.Discovery)
+		p.say("configuration read again: discovery at " + c.Discovery)
 		p.registry.Move(c.Discovery)
 	})
 }
@@ -230,7 +231,7 @@
 func (p *Proxy) reconfigure(table *routing.Table) {
 	now := p.loop.Now()
 	if err := p.retable(table); err != nil {
-		fmt.Fprintln(p.log, "pools not taken:", err)
+		p.warn("pools not taken", err)
 	}
 	for _, q := range slices.Concat(p.pools, p.gone) {
 		// Settings have been checked, and a module takes what makes sense.
@@ -244,6 +245,6 @@
 func (p *Proxy) Refused(err error) error {
 	return p.loop.Post(func() {
 		p.count.ReloadErrors++
-		fmt.Fprintln(p.log, "configuration not taken:", err)
+		p.warn("configuration not taken", err)
 	})
 }
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"example.org/micafront"
 	"example.org/micafront/internal/registry"
@@ -78,7 +77,7 @@
 			p.registry.Fetch()
 		}
 	case micafront.Log:
-		fmt.Fprintln(p.log, a.Text)
+		p.log.Info(a.Text)
 	case micafront.Probe:
 		// The module asks for none today; one that does hears that it never went out.
 		p.tell(q, micafront.Probed{Server: a.Server, Status: micafront.Moot})
@@ -129,6 +128,6 @@
 	if errors.Is(err, registry.ErrBroken) {
 		p.count.ListBroken++
 	}
-	fmt.Fprintln(p.log, err)
+	p.log.Warn(err.Error())
 	p.tell(p.lead, micafront.Members{Kind: micafront.ListFailed}) // it alone asks again
 }
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"maps"
 	"os"
 	"runtime/debug"
@@ -101,13 +100,13 @@
 	link, fds, text, err := handover.Take(p.path)
 	if err != nil {
 		if !errors.Is(err, os.ErrNotExist) && !errors.Is(err, unix.ECONNREFUSED) {
-			fmt.Fprintln(p.log, "nothing is handed over:", err)
+			p.warn("nothing is handed over", err)
 		}
 		return nil, nil, -1
 	}
 	b = &bequest{}
 	if err := json.Unmarshal(text, b); err != nil {
-		fmt.Fprintln(p.log, "what was handed over cannot be read, starting without it:", err)
+		p.warn("what was handed over cannot be read, starting without it", err)
 		b = nil
 	}
 	listeners = map[string]int{routing.MainListener: fds[0]}
@@ -136,7 +135,7 @@
 	}
 	list, err := registry.ParseList(b.List)
 	if err != nil {
-		fmt.Fprintln(p.log, "what was handed over is not taken over:", err)
+		p.warn("what was handed over is not taken over", err)
 		p.hearList(c.Known, micafront.SavedList)
 		return
 	}
@@ -150,7 +149,7 @@
 		var r resumed
 		if state, was := b.stateOf(&p.table.Set.Pools[i], p.single()); was {
 			if r.actions, err = q.module.Resume(p.loop.Now(), state); err != nil {
-				fmt.Fprintln(p.log, "what was handed over is not taken over:", err)
+				p.warn("what was handed over is not taken over", err)
 			}
 			r.ok = err == nil
 		}
@@ -207,7 +206,7 @@
 		conn.TakeRights()
 	}
 	if err != nil {
-		fmt.Fprintln(p.log, "no link to the old process:", err)
+		p.warn("no link to the old process", err)
 		return
 	}
 	k.conn, p.elder = conn, k
@@ -223,7 +222,7 @@
 	}
 	var err error
 	if p.offer, err = handover.Offer(p.loop, p.path, p.succeed); err != nil {
-		fmt.Fprintln(p.log, "no place is offered to a successor:", err)
+		p.warn("no place is offered to a successor", err)
 	}
 }
 
@@ -273,11 +272,11 @@
 		err = c.WriteWith(append(text, '\n'), fds...)
 	}
 	if err != nil {
-		fmt.Fprintln(p.log, "not handed over:", err)
+		p.warn("not handed over", err)
 		c.Close()
 		return k
 	}
-	fmt.Fprintln(p.log, "a successor has asked for this process's place")
+	p.say("a successor has asked for this process's place")
 	p.heir = k
 	p.limitMemory()
 	p.keepInTouch()
@@ -404,7 +403,7 @@
 		}
 	}
 	if err != nil { // no memory for one more in the poller
-		fmt.Fprintln(p.log, "a connection is not taken over:", err)
+		p.warn("a connection is not taken over", err)
 		return
 	}
 	p.count.TakenOver++
@@ -512,7 +511,7 @@
 		if !k.serving {
 			k.serving = true
 			p.withdraw() // the place to ask is the successor's now
-			fmt.Fprintln(p.log, "the successor serves")
+			p.say("the successor serves")
 		}
 		p.rest(true)
 	}
@@ -531,7 +530,7 @@
 		p.elder = nil
 	case p.heir == k:
 		p.heir = nil
-		fmt.Fprintln(p.log, "the successor has gone, this process goes on")
+		p.say("the successor has gone, this process goes on")
 		p.rest(false)
 		if !p.stopping {
 			p.offerPlace()
