Add benchmarks of the proxy's path, of routing decisions and of checks

Cause: the platform's process must not pay for pools and the language, and that is to be shown in one run.

Change: micafront bench proxy | routing | check print figures, the first against another build measured in turn.

--- a/cmd/micafront-tools/main.go
+++ b/cmd/micafront-tools/main.go
@@ -18,6 +18,7 @@
 	Serve      serveCommand                 `cmd:"" help:"Run the proxy, from a site or a JSON configuration."`
 	Config     configCommand                `cmd:"" help:"Check, format, compare, explain and convert configurations."`
 	Demo       demoCommand                  `cmd:"" help:"Show a whole site at work on loopback, with a deploy half-way."`
+	Bench      benchCommand                 `cmd:"" help:"Measure, and compare in the same run."`
 	Version    versionCommand               `cmd:"" help:"Say which version this is."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print what makes the shell complete these commands."`
 }
