--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -221,6 +221,9 @@
 			delete(p.dropped, class.Name)
 			p.count.Class(class.Name)
 		}
+		if !maps.Equal(c.Routes.Set.Listeners, p.table.Set.Listeners) {
+			p.say("further listeners change at a restart or an upgrade")
+		}
 		p.reconfigure(c.Routes)
 		p.say("configuration read again: discovery at " + c.Discovery)
 		p.registry.Move(c.Discovery)
--- a/internal/routing/owners.go
+++ b/internal/routing/owners.go
@@ -31,8 +31,8 @@
 }
 
 // Owners knows which pool has each next hop: at any time one at most. A next hop that changes pools while it is cold
-// is in neither until it is warm: what its former pool has sent it still counts in its budget, and the new pool
-// would begin another.
+// is in neither until it is warm or has started anew: what its former pool has sent it still counts in its budget, and
+// the new pool would begin another.
 type Owners struct {
 	set   *Set
 	order []int // pools, the highest precedence first
@@ -46,6 +46,7 @@
 type owned struct {
 	entry Entry
 	pool  int               // -1: none
+	had   bool              // by a pool, since its latest start
 	until micafront.Instant // held back until then; 0: it is not
 }
 
@@ -155,7 +156,7 @@
 	if v == nil {
 		v = &owned{pool: pool}
 		if o.held[e.Server] > now {
-			v.until = o.heldUntil(now, e)
+			v.had, v.until = true, o.heldUntil(now, e)
 		}
 		o.hops[e.Server] = v
 		if pool < 0 {
@@ -164,6 +165,9 @@
 			o.note("next hop %s fits several pools, %s has it", e.Server, o.name(pool))
 		}
 	}
+	if e.StartedAt != v.entry.StartedAt && v.entry.Server != "" {
+		v.had, v.until = false, 0 // another process: nobody has sent it anything yet
+	}
 	v.entry = e
 	if former := v.pool; former != pool {
 		v.pool = pool
@@ -172,7 +176,9 @@
 			gone.Phase = micafront.Gone
 			tell(former, gone)
 		}
-		v.until = o.heldUntil(now, e)
+		if v.had {
+			v.until = o.heldUntil(now, e)
+		}
 		switch {
 		case v.until > 0 && pool >= 0:
 			o.note("next hop %s goes from %s to %s, once it is warm", e.Server, o.name(former), o.name(pool))
@@ -180,9 +186,10 @@
 			o.note("next hop %s goes from %s to %s", e.Server, o.name(former), o.name(pool))
 		}
 	} else if v.until > 0 {
-		v.until = o.heldUntil(now, e) // it may have started anew meanwhile
+		v.until = o.heldUntil(now, e)
 	}
 	if pool >= 0 && v.until == 0 {
+		v.had = true
 		tell(pool, e.Member)
 	}
 }
@@ -202,6 +209,7 @@
 		case v.until <= now:
 			v.until = 0
 			if v.pool >= 0 {
+				v.had = true
 				o.note("next hop %s is warm, %s has it", id, o.name(v.pool))
 				out = append(out, Heard{v.pool, micafront.Members{Kind: micafront.Changes, Entries: []micafront.Member{v.entry.Member}}})
 			}
@@ -238,7 +246,9 @@
 			if v.pool < 0 { // what the pool that is gone has sent it counts on
 				if pool, _ := o.choose(v.entry.hop()); pool >= 0 {
 					v.pool = pool
-					v.until = o.heldUntil(now, v.entry)
+					if v.had {
+						v.until = o.heldUntil(now, v.entry)
+					}
 					o.note("next hop %s goes to %s", id, o.name(pool))
 				}
 			}
