--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -117,6 +117,9 @@
 	if c.MemoryMB < 0 || c.Sockets < 0 {
 		return nil, fmt.Errorf("%s: a limit is negative", path)
 	}
+	if len(f.Known) == 0 { // nothing is known until discovery speaks
+		f.Known = jsoniter.RawMessage(`{"instances":[]}`)
+	}
 	if c.Known, err = registry.ParseList(f.Known); err != nil {
 		return nil, fmt.Errorf("%s: known: %w", path, err)
 	}
