--- a/balancer.go
+++ b/balancer.go
@@ -16,6 +16,7 @@
 type Balancer struct {
 	set     Settings
 	rng     *rand.Rand
+	source  *rand.PCG // rng's
 	now     Instant
 	out     []Action
 	classes map[string]*Class
@@ -90,7 +91,8 @@
 	if err := set.validate(); err != nil {
 		return nil, fmt.Errorf("micafront: %w", err)
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), gate: 1,
+	source := rand.NewPCG(seed, 0)
+	b := &Balancer{set: set, rng: rand.New(source), source: source, gate: 1,
 		classes: map[string]*Class{}, usual: map[string]float64{}, crowd: crowd{count: map[uint64]float64{}},
 		requests: map[string]*request{}, timers: map[string]*request{},
 		zoned: map[string]*table{}, home: &table{},
