Compile a site beside the signals, so that a stop need not wait for it

Cause: the goroutine that hears signals also ran the compiler; SIGTERM during a long compile was heard after it.

Change: SIGHUPs are read by a goroutine of their own, in their order; the compiler ends with the proxy.

Measured: a proxy whose site takes ten minutes to compile stops within its usual time.

--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -53,13 +53,23 @@
 	if err != nil {
 		return err
 	}
+	// A site is compiled before it counts, which may take its time: a stop must not wait for that.
+	again := make(chan struct{}, 64)
+	go func(c *config.Config) {
+		for range again {
+			c = reload(p, c)
+		}
+	}(c)
 	go func() {
 		for s := range signals {
 			switch s {
 			case syscall.SIGUSR1:
 				_ = p.Print(log)
 			case syscall.SIGHUP:
-				c = reload(p, c)
+				select {
+				case again <- struct{}{}:
+				default: // those that wait will read what there is by then
+				}
 			default:
 				_ = p.Stop()
 			}
--- a/cmd/micafront/pools_test.go
+++ b/cmd/micafront/pools_test.go
@@ -333,8 +333,8 @@
 	return path, nil
 })
 
-// site starts the program with a site of the language; addresses replace ADDR-A and so on.
-func site(t *testing.T, file string, replace ...string) (*world, map[string]chan *standin.Peer) {
+// site starts the program with a site of the language; env are names and values of further variables.
+func site(t *testing.T, file string, env ...string) (*world, map[string]chan *standin.Peer) {
 	t.Helper()
 	path, err := toolsBinary()
 	if err != nil {
@@ -352,9 +352,12 @@
 		entries = append(entries, fmt.Sprintf(`{id: %q, address: %q, zone: %q, lifecycle: "in_service"}`, h.ID, h.Addr, z))
 	}
 	w := start(t, "", func(w *world) {
-		w.site = strings.NewReplacer(append(replace, "127.0.0.1:8081", "127.0.0.1:0", "127.0.0.1:8500", w.Addr)...).Replace(string(text)) +
+		w.site = strings.NewReplacer("127.0.0.1:8081", "127.0.0.1:0", "127.0.0.1:8500", w.Addr).Replace(string(text)) +
 			fmt.Sprintf("\nknown: {generation: 1, reset: true, instances: [%s]}\n", strings.Join(entries, ", "))
 		w.env = append(w.env, "MICAFRONT_TOOLS="+path)
+		for i := 0; i < len(env); i += 2 {
+			w.env = append(w.env, env[i]+"="+env[i+1])
+		}
 	})
 	return w, conns
 }
@@ -395,6 +398,38 @@
 	say("k", "dakar")
 }
 
+// A stop does not wait for a site that takes long to compile.
+func TestStopWhileASiteIsCompiled(t *testing.T) {
+	t.Parallel()
+	real, err := toolsBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	slow, begun := filepath.Join(dir, "slow"), filepath.Join(dir, "begun")
+	script := fmt.Sprintf("#!/bin/sh\nif [ -e %q ]; then : > %q; exec sleep 600; fi\nexec %q \"$@\"\n", slow, begun, real)
+	wrapper := filepath.Join(dir, "tools")
+	if err := os.WriteFile(wrapper, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	w, _ := site(t, "../../internal/sitelang/testdata/base.cue", "MICAFRONT_TOOLS", wrapper)
+	if err := os.WriteFile(slow, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	for end := time.Now().Add(standin.Patience); ; time.Sleep(5 * time.Millisecond) {
+		if _, err := os.Stat(begun); err == nil {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("the site is not compiled")
+		}
+	}
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	if err := standin.Await(t, w.exited); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // What the diff predicts is what happens: a SIGHUP from the old to the new set moves exactly the predicted connections.
 func TestDiffPredictsAReload(t *testing.T) {
 	t.Parallel()
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"example.org/micafront/internal/routing"
@@ -46,6 +47,7 @@
 	out, faults := &bounded{most: maxCompiled}, &bounded{most: 64 << 10}
 	cmd.Stdout, cmd.Stderr = out, faults
 	cmd.WaitDelay = time.Second
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it is of no use without this process
 	if err := cmd.Run(); err != nil {
 		if words := strings.TrimSpace(faults.String()); words != "" && ctx.Err() == nil {
 			return nil, true, errors.New(strings.ReplaceAll(words, "\n", " | "))
