Refuse names of pools, routes, policies and listeners that figures cannot carry

Cause: a name with a blank or a line end would break the lines of telemetry that name it.

Change: routing refuses such names, and the checker says where they stand.

--- a/internal/routing/check.go
+++ b/internal/routing/check.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 )
 
 // check says all that keeps a set from being compiled. What merely looks wrong is for the language's checker.
@@ -19,6 +20,9 @@
 		} else if seen[name] {
 			bad("%s %q is named twice", what, name)
 		}
+		if !Nameable(name) {
+			bad("%s %q has a blank or a control character in its name", what, name)
+		}
 		seen[name] = true
 	}
 	if len(s.Pools) == 0 {
@@ -102,6 +106,11 @@
 // MainListener is the name of the listener that every proxy has.
 const MainListener = "main"
 
+// Nameable reports whether a name fits into a line of figures: it has no blanks and no control characters.
+func Nameable(name string) bool {
+	return !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f })
+}
+
 // rules is how many rules a match expands to, at most a little over maxRules.
 func (m *Match) rules() int {
 	n := 1
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -270,6 +270,7 @@
 	for want, set := range map[string]Set{
 		"there is no pool":                           {},
 		`pool "a" is named twice`:                    {Pools: []Pool{{Name: "a"}, {Name: "a"}}},
+		`pool "a b" has a blank or a control`:        {Pools: []Pool{{Name: "a b"}}},
 		`a pool has no name`:                         {Pools: []Pool{{}}},
 		`pool "a" has a limit below 0`:               {Pools: []Pool{{Name: "a", MaxOpen: -1}}},
 		`pool "a" selects sizes from 2 to 1`:         {Pools: []Pool{{Name: "a", Select: Select{SizeFrom: 2, SizeTo: 1}}}},
--- a/internal/sitelang/meaning.go
+++ b/internal/sitelang/meaning.go
@@ -76,6 +76,13 @@
 	if n := site.member("listener").member(routing.MainListener); n != nil {
 		c.fault(n, "give it another name", `listener.main is what proxy.listen names already`)
 	}
+	for _, kind := range []string{"listener", "policy", "pool", "route"} {
+		for _, m := range fieldsOf(site.member(kind)) {
+			if !routing.Nameable(m.name) {
+				c.find(m.pos, "", Error, fmt.Sprintf("%s %q has a blank or a control character in its name", kind, m.name), "figures and log lines name it")
+			}
+		}
+	}
 	usedPool, usedPolicy := map[string]bool{}, map[string]bool{}
 
 	for _, p := range fieldsOf(site.member("policy")) {
