--- a/internal/routing/diff.go
+++ b/internal/routing/diff.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -346,11 +347,11 @@
 		}
 		return out, texts
 	}
-	ordered := sorted(exact)
+	ordered := slices.Sorted(maps.Keys(exact))
 	for _, text := range ordered {
 		out = append(out, Span{Dim: name, Texts: []string{text}})
 	}
-	prefixes := sorted(prefix)
+	prefixes := slices.Sorted(maps.Keys(prefix))
 	for i, p := range prefixes {
 		s := Span{Dim: name, Prefix: p}
 		at, _ := slices.BinarySearch(ordered, p)
@@ -368,15 +369,6 @@
 	return out, texts
 }
 
-func sorted(set map[string]bool) []string {
-	out := make([]string, 0, len(set))
-	for s := range set {
-		out = append(out, s)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (d *differ) name(dim int) string {
 	t := Table{FieldNames: d.fields}
 	return t.dimName(dim)
--- a/internal/routing/owners.go
+++ b/internal/routing/owners.go
@@ -16,7 +16,8 @@
 	MachineType string
 }
 
-func (e *Entry) hop() Hop {
+// Hop is the entry as pools look at it; a size that is not told is 1.
+func (e *Entry) Hop() Hop {
 	size := e.Size
 	if size == 0 {
 		size = 1
@@ -141,7 +142,7 @@
 
 // place finds the pool of one entry and tells it, and the one that has lost it.
 func (o *Owners) place(now micafront.Instant, e Entry, tell func(int, micafront.Member), tellLoss bool) {
-	pool, several := o.choose(e.hop())
+	pool, several := o.choose(e.Hop())
 	v := o.hops[e.Server]
 	if e.Phase == micafront.Gone {
 		delete(o.hops, e.Server)
@@ -244,7 +245,7 @@
 		if former := v.pool; former >= 0 {
 			v.pool = heirs[former]
 			if v.pool < 0 { // what the pool that is gone has sent it counts on
-				if pool, _ := o.choose(v.entry.hop()); pool >= 0 {
+				if pool, _ := o.choose(v.entry.Hop()); pool >= 0 {
 					v.pool = pool
 					if v.had {
 						v.until = o.heldUntil(now, v.entry)
--- a/internal/sitelang/convert.go
+++ b/internal/sitelang/convert.go
@@ -211,8 +211,8 @@
 	if o == nil || d.More() {
 		return nil, fmt.Errorf("not one JSON object")
 	}
-	w := &writer{}
-	w.record(root(), o, o, nil, 0)
+	w := &writer{roots: o}
+	w.record(root(), o, nil, 0)
 	if rest := prune(o); len(rest) > 0 {
 		w.extra(rest)
 	}
@@ -242,10 +242,7 @@
 	return strings.NewReplacer(`\u003c`, "<", `\u003e`, ">", `\u0026`, "&").Replace(string(out))
 }
 
-func (w *writer) record(r *record, o, whole object, parallels map[string]any, place int) {
-	if w.roots == nil {
-		w.roots = whole
-	}
+func (w *writer) record(r *record, o object, parallels map[string]any, place int) {
 	for _, f := range r.fields {
 		if f.name == "include" || f.opts["extra"] != "" {
 			continue
@@ -262,7 +259,7 @@
 			at := w.buf.Len()
 			fmt.Fprintf(&w.buf, "%s: {\n", f.name)
 			empty := w.buf.Len()
-			w.record(f.typ.record, o, whole, nil, 0)
+			w.record(f.typ.record, o, nil, 0)
 			if w.buf.Len() == empty {
 				w.buf.Truncate(at)
 				continue
@@ -274,7 +271,7 @@
 		if !ok {
 			continue
 		}
-		if kept := deepCopy(v); !w.field(f, v, whole) {
+		if kept := deepCopy(v); !w.field(f, v) {
 			put(o, f.json, kept) // not of the schema's kind: kept as it is
 		}
 	}
@@ -299,9 +296,9 @@
 }
 
 // field writes one field; not ok, and nothing written, where its value is not of the schema's kind.
-func (w *writer) field(f *field, v any, whole object) bool {
+func (w *writer) field(f *field, v any) bool {
 	at := w.buf.Len()
-	ok := w.value(f, f.typ, v, whole)
+	ok := w.value(f, f.typ, v)
 	if !ok {
 		w.buf.Truncate(at)
 		return false
@@ -312,7 +309,7 @@
 	return true
 }
 
-func (w *writer) value(f *field, t *typ, v any, whole object) bool {
+func (w *writer) value(f *field, t *typ, v any) bool {
 	switch t.kind {
 	case kindRecord:
 		o, ok := v.(object)
@@ -320,7 +317,7 @@
 			return false
 		}
 		w.buf.WriteString("{\n")
-		w.record(t.record, o, whole, nil, 0)
+		w.record(t.record, o, nil, 0)
 		if !w.rest(t.record, o) {
 			return false
 		}
@@ -336,14 +333,14 @@
 			if i > 0 {
 				w.buf.WriteString(", ")
 			}
-			if !w.value(f, t.elem, x, whole) {
+			if !w.value(f, t.elem, x) {
 				return false
 			}
 		}
 		w.buf.WriteString("]")
 		return true
 	case kindMap:
-		return w.entries(f, t, v, whole)
+		return w.entries(f, t, v)
 	}
 	text, ok := w.scalar(f, t, v)
 	w.buf.WriteString(text)
@@ -379,7 +376,8 @@
 		case kindInt:
 			return decimal(r), r.IsInt()
 		case kindNumber:
-			return decimal(r), same(r, v)
+			_, exact := r.FloatPrec()
+			return decimal(r), exact
 		case kindQuantity:
 			r = new(big.Rat).Mul(r, scales[f.scale])
 			return strconv.Quote(t.quantity.text(r)), r.Sign() >= 0 && figure.MatchString(t.quantity.text(r)) && (f.scale != "us" && f.scale != "ppm" && f.scale != "ms" || rat(string(v)).IsInt())
@@ -392,13 +390,8 @@
 	return "", false
 }
 
-func same(r *big.Rat, v json.Number) bool {
-	_, exact := r.FloatPrec()
-	return exact
-}
-
 // entries writes a map from the list or the object that the schema says it is.
-func (w *writer) entries(f *field, t *typ, v any, whole object) (ok bool) {
+func (w *writer) entries(f *field, t *typ, v any) (ok bool) {
 	if f.opts["map"] != "" {
 		o, ok := v.(object)
 		if !ok {
@@ -417,7 +410,7 @@
 				fmt.Fprintf(&w.buf, "{%s: %s}\n", only.name, text)
 				continue
 			}
-			if !w.value(f, t.elem, o[name], whole) {
+			if !w.value(f, t.elem, o[name]) {
 				return false
 			}
 			w.buf.WriteString("\n")
@@ -466,7 +459,7 @@
 		o = maps.Clone(o)
 		delete(o, key)
 		fmt.Fprintf(&w.buf, "%s: {\n", label(name))
-		w.record(t.elem.record, o, whole, parallels, i)
+		w.record(t.elem.record, o, parallels, i)
 		if !w.rest(t.elem.record, o) {
 			return false
 		}
--- a/internal/sitelang/site.go
+++ b/internal/sitelang/site.go
@@ -154,13 +154,9 @@
 
 // Hops are the next hops of a list that are not gone, as pools look at them.
 func Hops(list *registry.List) (out []routing.Hop) {
-	for _, e := range list.Instances {
-		if e.Lifecycle != registry.Terminated {
-			size := e.Weight
-			if size == 0 {
-				size = 1
-			}
-			out = append(out, routing.Hop{ID: e.ID, Zone: e.Zone, MachineType: e.MachineType, Cell: e.Cell, Size: size})
+	for _, e := range list.Entries() {
+		if e.Phase != micafront.Gone {
+			out = append(out, e.Hop())
 		}
 	}
 	slices.SortFunc(out, func(a, b routing.Hop) int { return strings.Compare(a.ID, b.ID) })
--- a/snapshot.go
+++ b/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 )
@@ -108,22 +109,20 @@
 		PressedAt: b.pressedAt}
 	s.Settings.Classes, s.Settings.Tenants = slices.Clone(b.set.Classes), slices.Clone(b.set.Tenants)
 	w := snapshotter{s: &s, servers: map[*server]int{}, requests: map[*request]int{}, classes: map[*Class]int{}}
-	for _, name := range sortedKeys(b.classes) {
+	for _, name := range slices.Sorted(maps.Keys(b.classes)) {
 		s.ClassOf[name] = w.class(b.classes[name])
 	}
-	for name, v := range b.usual {
-		s.Usual[name] = v
-	}
-	for _, id := range sortedKeys(b.requests) {
+	maps.Copy(s.Usual, b.usual)
+	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
 		r := b.requests[id]
 		w.requests[r] = len(w.requests)
 		w.order = append(w.order, r)
 	}
-	for _, id := range sortedKeys(b.servers) {
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s.ServerOf[id] = w.server(b.servers[id])
 	}
 	s.Table = w.table(&b.table)
-	for _, zone := range sortedKeys(b.zoned) {
+	for _, zone := range slices.Sorted(maps.Keys(b.zoned)) {
 		s.Zoned[zone] = w.table(b.zoned[zone])
 		if b.zoned[zone] == b.home {
 			s.HomeZone = zone
@@ -142,12 +141,8 @@
 	for zone, z := range b.zones {
 		s.Zones[zone] = SuspicionSnapshot{z.fails, z.retryAt, z.trial}
 	}
-	for name, n := range b.tenants {
-		s.Tenants[name] = n
-	}
-	for group, n := range b.crowd.count {
-		s.Crowd[group] = n
-	}
+	maps.Copy(s.Tenants, b.tenants)
+	maps.Copy(s.Crowd, b.crowd.count)
 	for _, r := range w.order {
 		s.Requests = append(s.Requests, w.request(b, r))
 	}
@@ -155,15 +150,6 @@
 	return s
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // snapshotter gives places to what refers to one another.
 type snapshotter struct {
 	s        *Snapshot
@@ -310,15 +296,9 @@
 	for zone, z := range s.Zones {
 		b.zones[zone] = &suspicion{z.Fails, z.RetryAt, z.Trial}
 	}
-	for name, v := range s.Usual {
-		b.usual[name] = v
-	}
-	for name, n := range s.Tenants {
-		b.tenants[name] = n
-	}
-	for group, n := range s.Crowd {
-		b.crowd.count[group] = n
-	}
+	maps.Copy(b.usual, s.Usual)
+	maps.Copy(b.tenants, s.Tenants)
+	maps.Copy(b.crowd.count, s.Crowd)
 	b.crowd.total, b.crowd.squares = s.CrowdTotal, s.CrowdSquare
 	b.now, b.nextID, b.held, b.weight, b.capacity = s.Now, s.NextID, s.Held, s.Weight, s.Capacity
 	b.homeSize, b.homeShare, b.usualPart, b.zoneCount = s.HomeSize, s.HomeShare, s.UsualPart, s.ZoneCount
