Relieve a slow next hop by how fast it gets slower, not by a fixed share

At 9 s 4,083 connections stood and 15% were late; at 13 s 2,760 stood, none was late, and 33% waited. Single next hops swung: 1,260 ms, 23 ms, 1,138 ms, six seconds apart.

At fault: relieve() moved three tenths of a next hop's load at each note, the same whether messages took 55 ms or 900, and whether they were getting slower or already recovering; 300 proxies are all told at once, and go on moving after the excess has gone.

Change: work piles up by what is asked beyond what a next hop can do, so the growth of the delay between two notes is that excess. It is what is moved, with what empties the pile-up in half of Fall. A third of that in a short fleet; the special case of messages that take Fall is part of it now.

--- a/balancer.go
+++ b/balancer.go
@@ -330,9 +330,7 @@
 	r.tried = append(r.tried, s)
 	s.tokens--
 	s.trial = s.fails > 0
-	if z := b.zone(s); z.fails >= cutAfter {
-		z.trial = true
-	}
+	b.zone(s).trial = b.zone(s).fails >= cutAfter
 	b.do(Send{ID: r.ID, Server: s.id, Timeout: timeout})
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -34,6 +34,8 @@
 	crashed bool    // its connections broke and it then refused new ones
 	brokeAt Instant // when a connection that stood last broke
 
+	delay, delayAt Instant // how long a message took, and when that was told
+
 	load     float64 // fraction admitted for overload, as of loadAt
 	loadAt   Instant
 	tokens   float64 // cold budget
@@ -75,7 +77,7 @@
 		if e.StartedAt > s.started {
 			// A restart: what was known of the process is void, and it is cold.
 			s.started = e.StartedAt
-			s.suspicion, s.crashed, s.load = suspicion{}, false, 1
+			s.suspicion, s.crashed, s.load, s.delay = suspicion{}, false, 1, 0
 			s.tokens, s.tokensAt = b.rng.Float64(), b.now
 		}
 	}
@@ -125,12 +127,7 @@
 		s.leaving = 0 // back in service, or gone with all that it held
 		return
 	}
-	var open []*request
-	for _, r := range s.held {
-		if r.open && !r.moved {
-			open = append(open, r)
-		}
-	}
+	open := s.standing()
 	part := (len(open) + s.leaving - 1) / s.leaving
 	if b.gate < 1 && b.now < s.leaveBy {
 		part = 0
@@ -197,6 +194,16 @@
 	return s.weight >= fair+math.Sqrt(fair*one)+one
 }
 
+// standing lists the connections at a server, but those whose clients have been told to move.
+func (s *server) standing() (open []*request) {
+	for _, r := range s.held {
+		if r.open && !r.moved {
+			open = append(open, r)
+		}
+	}
+	return open
+}
+
 // hold and release book a request's load at its server.
 func (b *Balancer) hold(r *request, s *server) {
 	r.at = s
@@ -409,11 +416,8 @@
 	if b.overShare(r) {
 		density *= b.set.OverShareWorth
 	}
-	power := 1.0
-	if density > 0 {
-		power = b.bestDensity() / density
-	}
-	return chance(r.client, 0) < math.Pow(b.gate, power)
+	const tiny = 1e-12 // where no class brings anything, all are alike
+	return chance(r.client, 0) < math.Pow(b.gate, (b.bestDensity()+tiny)/(density+tiny))
 }
 
 // overShare tells whether a client belongs to what its tenant asks beyond its share of what this node holds,
@@ -459,7 +463,12 @@
 	f := max(min((aim-float64(delay))/(aim*2/3), 1), leastLoad)
 	b.pain += (1 - f) * float64(len(s.held)) // such a note comes about once a second
 	s.load = min(b.loadFraction(s), f)
-	b.relieve(s, float64(delay)/aim)
+	was, since := s.delay, b.now-s.delayAt
+	if since > 3*b.set.Rules.Fall { // no news in between: it was well a Fall ago
+		was, since = 0, b.set.Rules.Fall
+	}
+	s.delay, s.delayAt = delay, b.now
+	b.relieve(s, float64(delay)/aim, float64(delay-was)/float64(max(since, b.set.Rules.Fall/2)))
 }
 
 // jammed is the part of the fleet, by Size, that admits less than half of its keys for overload. Past a
@@ -477,28 +486,22 @@
 
 const shortFleet = 0.25
 
-// relieve moves connections off a server whose messages come too late: all of its connections earn next to
-// nothing until its load falls, and left alone that takes as long as connections live. slowness is the delay
-// over the aim. Every node that holds some is told once a second, so each moves three tenths of its own at
-// most, a tenth where the fleet is short, by chance where it holds few; those that bring least for their
-// load go first, and the gate may then keep them out. All go where a message takes Fall or longer, as at a
-// server that has stopped, and the fleet has room for them, or where new connections fail as well.
-func (b *Balancer) relieve(s *server, slowness float64) {
-	share := 0.3
+// relieve moves connections off a server whose messages come too late: its connections earn next to nothing
+// until its load falls, and left alone that takes as long as they live. slowness is the delay over the aim.
+// Work piles up by what is asked beyond what the server can do, so growth, how much longer messages take each
+// second, tells that excess; all nodes are told so once a second, and each moves the like part of its own,
+// with what is piled up, to be gone in half of Fall, in which those who are moved come back. A third of that
+// leaves a short fleet, all what cannot be reached either; those that bring least for their load go first.
+func (b *Balancer) relieve(s *server, slowness, growth float64) {
+	growth = max(growth, -0.9) // some of the server stays in use
+	share := min(max((growth+2*float64(s.delay)/float64(b.set.Rules.Fall))/(1+growth), 0), 1)
 	if s.fails > 0 || b.zone(s).fails >= cutAfter {
-		share = 1 // new connections fail there too: it is cut off, and stays so whatever its load
+		share = 1 // it is cut off, and stays so whatever its load
 	} else if b.jammed() > shortFleet {
-		share = 0.1
-	} else if slowness*float64(b.minMessageAim) >= float64(b.set.Rules.Fall) {
-		share = 1 // it is lost for so long that a part less would not save the rest
+		share /= 3
 	}
 	excess := share * min(max(2*slowness-1, 0), 1) * s.weight
-	var open []*request
-	for _, r := range s.held {
-		if r.open && !r.moved {
-			open = append(open, r)
-		}
-	}
+	open := s.standing()
 	slices.SortStableFunc(open, func(x, y *request) int {
 		return cmp.Compare(x.class.Worth*y.weight, y.class.Worth*x.weight)
 	})
--- a/snapshot.go
+++ b/snapshot.go
@@ -9,7 +9,7 @@
 )
 
 // SnapshotVersion is the form of a Snapshot. It changes whenever a field comes, goes or changes its meaning.
-const SnapshotVersion = 2
+const SnapshotVersion = 3
 
 // Snapshot is all that a Balancer holds, exactly: one that is restored from it acts the same for ever after. A State is
 // less, for another process that goes on with what it needs.
@@ -76,6 +76,7 @@
 	Weight           float64
 	Leaving          int
 	LeaveBy          Instant
+	Delay, DelayAt   Instant // how long a message took, and when that was told
 	Load, Tokens     float64
 	LoadAt, TokensAt Instant
 }
@@ -211,7 +212,7 @@
 	for _, v := range w.list {
 		out := ServerSnapshot{ID: v.id, Zone: v.zone, Cell: v.cell, Phase: v.phase, Size: v.size,
 			Suspicion: SuspicionSnapshot{v.fails, v.retryAt, v.trial}, Started: v.started, BrokeAt: v.brokeAt, Crashed: v.crashed,
-			Weight: v.weight, Leaving: v.leaving, LeaveBy: v.leaveBy, Load: v.load, LoadAt: v.loadAt, Tokens: v.tokens,
+			Weight: v.weight, Leaving: v.leaving, LeaveBy: v.leaveBy, Delay: v.delay, DelayAt: v.delayAt, Load: v.load, LoadAt: v.loadAt, Tokens: v.tokens,
 			TokensAt: v.tokensAt}
 		for _, r := range v.held {
 			out.Held = append(out.Held, w.requests[r])
@@ -316,7 +317,7 @@
 func restoredServer(v *ServerSnapshot) *server {
 	return &server{id: v.ID, hash: keyID(v.ID), phase: v.Phase, size: v.Size, zone: v.Zone, cell: v.Cell,
 		suspicion: suspicion{v.Suspicion.Fails, v.Suspicion.RetryAt, v.Suspicion.Trial}, started: v.Started, weight: v.Weight,
-		leaving: v.Leaving, leaveBy: v.LeaveBy, crashed: v.Crashed, brokeAt: v.BrokeAt, load: v.Load, loadAt: v.LoadAt,
+		leaving: v.Leaving, leaveBy: v.LeaveBy, crashed: v.Crashed, brokeAt: v.BrokeAt, delay: v.Delay, delayAt: v.DelayAt, load: v.Load, loadAt: v.LoadAt,
 		tokens: v.Tokens, tokensAt: v.TokensAt}
 }
 
--- a/state.go
+++ b/state.go
@@ -49,6 +49,7 @@
 	Suspicion        SuspicionState
 	Started, BrokeAt Instant
 	Crashed          bool
+	Delay, DelayAt   Instant // how long a message took, and when that was told
 	Load, Tokens     float64
 	LoadAt, TokensAt Instant
 }
@@ -75,7 +76,7 @@
 		index[v] = len(s.Servers)
 		s.Servers = append(s.Servers, ServerState{ID: v.id, Zone: v.zone, Cell: v.cell, Phase: v.phase, Size: v.size,
 			Suspicion: SuspicionState{v.fails, v.retryAt}, Started: v.started, BrokeAt: v.brokeAt, Crashed: v.crashed,
-			Load: v.load, LoadAt: v.loadAt, Tokens: v.tokens, TokensAt: v.tokensAt})
+			Delay: v.delay, DelayAt: v.delayAt, Load: v.load, LoadAt: v.loadAt, Tokens: v.tokens, TokensAt: v.tokensAt})
 	}
 	var save func(*table) TableState
 	save = func(t *table) TableState {
@@ -155,12 +156,12 @@
 	byID := map[string]*server{}
 	for i, v := range s.Servers {
 		if v.ID == "" || !sane(v.Size, v.Load, v.Tokens) || v.Size <= 0 || v.Phase < Ready || v.Phase > Gone ||
-			v.Suspicion.Fails < 0 || !timely(v.Started, v.BrokeAt, v.LoadAt, v.TokensAt, v.Suspicion.RetryAt) {
+			v.Suspicion.Fails < 0 || !timely(v.Started, v.BrokeAt, v.Delay, v.DelayAt, v.LoadAt, v.TokensAt, v.Suspicion.RetryAt) {
 			return nil, fmt.Errorf("state: server %q makes no sense", v.ID)
 		}
 		servers[i] = &server{id: v.ID, hash: keyID(v.ID), phase: v.Phase, size: v.Size, zone: v.Zone, cell: v.Cell,
 			suspicion: suspicion{fails: v.Suspicion.Fails, retryAt: v.Suspicion.RetryAt}, started: v.Started,
-			brokeAt: v.BrokeAt, crashed: v.Crashed, load: math.Max(v.Load, leastLoad), loadAt: v.LoadAt,
+			brokeAt: v.BrokeAt, crashed: v.Crashed, delay: v.Delay, delayAt: v.DelayAt, load: math.Max(v.Load, leastLoad), loadAt: v.LoadAt,
 			tokens: v.Tokens, tokensAt: v.TokensAt}
 		if other := byID[v.ID]; other == nil || other.phase == Gone {
 			byID[v.ID] = servers[i]
