Have the stand-in end a turned-away attempt before it says BUSY

The attempts were not overlapping: the stand-in wrote BUSY and told its judge only when its goroutine ended, while the proxy, having read BUSY, had already sent the next one (Feed.serve, the deferred Over).

Change: the judge is told before the word is written.

--- a/internal/standin/feed.go
+++ b/internal/standin/feed.go
@@ -120,6 +120,7 @@
 	f.mu.Unlock()
 	if !takes {
 		f.judge.Add(func(t *Tally) { t.Full++ })
+		f.judge.Over(request, f.ID) // before the word is out: with it the proxy may send the next attempt
 		io.WriteString(c, "BUSY\r\n")
 		return
 	}
