Refuse lists that go back, name nobody or repeat names; tell place and fault

Tried through the real program as a process: a whole list of nobody was taken, and sent every client away; a list of an older generation was taken, and brought back next hops that had left; one that named a next hop twice kept whichever came last; names that are not UTF-8 were two names that print alike. The log said `discovery: FAULT` without saying in which call or object.

Change: these are refused as broken, counted, and the last good list stays in force. After an older generation the next call asks for everything, so that a discovery that counts anew is followed. A failed call's line keeps its words and goes on with address, path, object and bytes.

Measured: 17 kinds of nonsense, a list repeated and one of 600, and four wrong known lists, each with the request's one answer; two of them seen to fail without the mend.

--- /dev/null
+++ b/cmd/micafront/discovery_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
+)
+
+// says answers a call with a watch's lines, without an end to the last one, and then ends it or falls silent.
+func says(silent bool, lines ...string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		io.WriteString(rw, strings.Join(lines, "\n"))
+		rw.(http.Flusher).Flush()
+		if silent {
+			<-r.Context().Done()
+		}
+	}
+}
+
+// raw answers a call with bytes that need not be HTTP, and then resets the connection.
+func raw(text string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		c, _, err := rw.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		io.WriteString(c, text)
+		if text == "" {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// endless answers with more bytes than any list has, and no line's end.
+func endless(rw http.ResponseWriter, _ *http.Request) {
+	for range 9 << 6 {
+		rw.Write(make([]byte, 16<<10))
+		rw.(http.Flusher).Flush()
+	}
+}
+
+// served asks for a connection and gives all that the client hears, while a next hop takes it and ends it.
+func served(w *world, conns chan *standin.Peer) []string {
+	c := w.dial()
+	defer c.Close()
+	c.Say(opening("key"))
+	heard := make(chan []string, 1)
+	go func() {
+		var all []string
+		for l := ""; l != "EOF" && l != "RST"; all = append(all, l) {
+			l = c.Line()
+		}
+		heard <- all
+	}()
+	select {
+	case s := <-conns:
+		s.Line()
+		s.Say("UP r\r\nBYE\r\n")
+		s.CloseWrite()
+		return <-heard
+	case lines := <-heard:
+		return lines
+	}
+}
+
+// Whatever discovery says, the last good list stays in force and every request gets its one answer; the log names place and
+// fault, the figures count it, and discovery is asked again.
+func TestDiscoveryTalksNonsense(t *testing.T) {
+	good := entry("s-1", "127.0.0.1:1", "terminating")
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name   string
+		answer http.HandlerFunc
+		log    string
+		broken bool
+		again  string // the next call
+	}{
+		{"no answer but a code", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(503) }, "discovery: status 503 (", false, ""},
+		{"a reset", raw(""), "(", false, ""},
+		{"half a line and the end", says(false, standin.List(2, false), `{"generation":3,"ins`), "object 2, 20 bytes of it)", false, "watch=1&from=2"},
+		{"half a line and silence", says(true, standin.List(2, false), `{"generation":3,"ins`), "the watch fell silent (", false, "watch=1&from=2"},
+		{"malformed JSON", says(true, standin.List(2, false), `{"generation":3,"instances":[{]}`, ""), "object 2", true, "watch=1&from=2"},
+		{"another form", says(true, `[1,2]`, ""), "transport map", true, ""},
+		{"a generation below 0", says(true, standin.List(-1, false, good), ""), "generation -1", true, ""},
+		{"a generation that goes back", says(true, standin.List(5, false), standin.List(4, false, good), ""), "generation 4 after 5", true, "watch=1&from=0"},
+		{"a whole list of nobody", says(true, standin.List(3, true), ""), "names nobody", true, ""},
+		{"one next hop twice", says(true, standin.List(3, true, good, good), ""), `entries 1 and 2 are both "s-1"`, true, ""},
+		{"an unknown lifecycle", says(true, standin.List(3, false, good, entry("s-2", "127.0.0.1:1", "resting")), ""), `entry 2, "s-2", has lifecycle "resting"`, true, ""},
+		{"a next hop without a name", says(true, standin.List(3, false, entry("", "127.0.0.1:1", "in_service")), ""), `entry 1, ""`, true, ""},
+		{"started before all time", says(true, strings.Replace(standin.List(3, false, good), `"startedAtMs":0`, `"startedAtMs":-5`, 1), ""), "started at -5", true, ""},
+		{"no HTTP", raw("SSH-2.0-x\r\n\r\n"), "status line", false, ""},
+		{"a chunk without a size", raw(head + "zz\r\n"), "chunk size", false, ""},
+		{"a chunk of a negative size", raw(head + "-5\r\n"), "chunk size", false, ""},
+		{"a line without an end", endless, "too long", false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w, conns := one(t, withStaff, func(w *world) { w.Instead <- c.answer })
+			Equal(t, "first call", "watch=1&from=1", standin.Await(t, w.Watches))
+			if c.again == "" {
+				c.again = "watch=1&from=1"
+			}
+			Equal(t, "second call", c.again, standin.Await(t, w.Watches))
+			log := w.until("discovery: ")
+			_, line, _ := strings.Cut(log, "discovery: ")
+			line, _, _ = strings.Cut("discovery: "+line, "\n")
+			for _, want := range []string{c.log, w.Discovery.Addr + " /registry/instances?watch=1&from=1, object "} {
+				if !strings.Contains(line, want) {
+					t.Errorf("the log's line lacks %q: %s", want, line)
+				}
+			}
+			w.counts("list_failures=1")
+			w.counts(fmt.Sprintf("list_broken=%d", map[bool]int{true: 1}[c.broken]))
+			Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, served(w, conns))
+			w.figures(map[string]string{"svc.members": "1", "svc.members_unavailable": "0"})
+		})
+	}
+}
+
+// A list that comes twice changes nothing, and one of 600 is taken whole.
+func TestDiscoveryRepeatsAndNamesMany(t *testing.T) {
+	conns := make(chan *standin.Peer, 64)
+	h := standin.NewHop(t, "s-1", conns)
+	var entries []string
+	for i := range 600 {
+		entries = append(entries, entry(fmt.Sprintf("s-%d", i+1), h.Addr, "in_service"))
+	}
+	w := start(t, standin.List(1, true, entries[0]), withStaff)
+	standin.Await(t, w.Watches)
+	many := standin.List(2, true, entries...)
+	for range 3 {
+		w.Lists <- many
+	}
+	w.counts("lists=4") // the known one is one of them
+	w.figures(map[string]string{"svc.members": "600"})
+	for range 10 {
+		Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, served(w, conns))
+	}
+	w.counts("list_failures=0")
+}
+
+// What was known at the start may be old, empty or missing, or name others than discovery then does.
+func TestKnownListThatIsWrong(t *testing.T) {
+	for _, c := range []struct{ name, known, first string }{
+		{"old", standin.List(7, true, entry("s-gone", "127.0.0.1:1", "in_service")), "watch=1&from=7"},
+		{"ahead of discovery", standin.List(900, true, entry("s-gone", "127.0.0.1:1", "in_service")), "watch=1&from=900"},
+		{"empty", standin.List(0, true), "watch=1&from=0"},
+		{"missing", "null", "watch=1&from=0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			conns := make(chan *standin.Peer, 64)
+			h := standin.NewHop(t, "s-1", conns)
+			w := start(t, c.known, withStaff)
+			Equal(t, "first call", c.first, standin.Await(t, w.Watches))
+			list := standin.List(20, true, entry(h.ID, h.Addr, "in_service"))
+			w.Lists <- list
+			if c.name == "ahead of discovery" {
+				Equal(t, "asked for everything", "watch=1&from=0", standin.Await(t, w.Watches))
+				w.Lists <- list
+			}
+			w.figures(map[string]string{"svc.members": "1"})
+			// The table follows at the next epoch; until then each request gets its one refusal.
+			got := served(w, conns)
+			for ; strings.HasPrefix(got[0], "BUSY"); got = served(w, conns) {
+				Equal(t, "after a refusal", "EOF", got[1])
+			}
+			Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, got)
+		})
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,7 +115,7 @@
 	if err := p.makePools(c.Routes, c.Seed); err != nil {
 		return nil, err
 	}
-	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation,
+	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation, Named: len(c.Known.Instances) > 0,
 		Heard: p.hearList, Failed: p.listFailed}
 	p.memoryMB = c.MemoryMB
 	p.limitMemory()
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -159,6 +159,7 @@
 		p.hearList(c.Known, micafront.SavedList)
 		return
 	}
+	p.registry.Named = len(list.Instances) > 0
 	if p.registry.Generation = list.Generation; b.Discovery != c.Discovery {
 		p.registry.Generation = 0 // generations of two discoveries do not compare
 	}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -26,6 +26,7 @@
 	Loop       *evloop.Loop
 	Addr       string
 	Generation int64 // of the latest list
+	Named      bool  // that list named somebody
 	Heard      func(List, micafront.ListKind)
 	Failed     func(error)
 
@@ -98,6 +99,8 @@
 
 type call struct {
 	c      *Client
+	addr   string
+	count  int // of objects that came whole
 	conn   *evloop.Conn
 	parser *parser
 	line   []byte
@@ -109,7 +112,7 @@
 }
 
 func (c *Client) call(path string, watch bool) *call {
-	k := &call{c: c, watch: watch, path: path}
+	k := &call{c: c, addr: c.Addr, watch: watch, path: path}
 	k.parser = newParser(k.body)
 	k.limit = c.Loop.After(callTime, func() { k.fail(errors.New("no answer in time")) })
 	conn, err := c.Loop.Dial(c.Addr, k)
@@ -143,7 +146,11 @@
 	if k.c.watch == k {
 		k.c.watch = nil
 	}
-	k.c.Failed(fmt.Errorf("discovery: %w", err))
+	place := fmt.Sprintf("%s %s, object %d", k.addr, k.path, k.count+1)
+	if n := len(k.line); n > 0 {
+		place += fmt.Sprintf(", %d bytes of it", n)
+	}
+	k.c.Failed(fmt.Errorf("discovery: %w (%s)", err, place))
 }
 
 // Opened and the methods below are evloop's Handler.
@@ -169,14 +176,17 @@
 		return
 	}
 	if !k.watch && k.parser.status == 200 && (k.parser.done || k.parser.left < 0 && !k.parser.chunked) {
-		if l, err := ParseList(k.line); err != nil {
+		l, err := ParseList(k.line)
+		if err == nil {
+			err = k.c.sane(l, true)
+		}
+		if k.line = nil; err != nil {
 			k.fail(err)
 		} else if k.c.watch != nil && l.Generation < k.c.Generation {
 			k.fail(errors.New("the list was overtaken by the watch")) // it must not go back in time
 		} else {
 			k.stop()
-			k.c.Generation = l.Generation
-			k.c.Heard(l, micafront.FullList)
+			k.c.take(l, micafront.FullList)
 		}
 		return
 	}
@@ -219,7 +229,10 @@
 		if l.Reset {
 			kind = micafront.FullList
 		}
-		k.heard(l, kind)
+		if err := k.heard(l, kind); err != nil {
+			return err
+		}
+		k.count++
 	}
 	if len(k.line) == 0 {
 		k.line = nil
@@ -227,12 +240,34 @@
 	return nil
 }
 
-// heard passes on a watch's object.
-func (k *call) heard(l List, kind micafront.ListKind) {
+// sane refuses a list that would send everybody away: one that names nobody where somebody was named before.
+func (c *Client) sane(l List, whole bool) error {
+	if whole && len(l.Instances) == 0 && c.Named {
+		return fmt.Errorf("%w: the whole list names nobody, the one in force goes on", ErrBroken)
+	}
+	return nil
+}
+
+func (c *Client) take(l List, kind micafront.ListKind) {
+	c.Generation, c.Named = l.Generation, c.Named || len(l.Instances) > 0
+	c.Heard(l, kind)
+}
+
+// heard passes on a watch's object. One that goes back in generation is not taken, since it would bring back next hops
+// that have left; discovery is then asked for everything, so that one that has begun to count anew is followed too.
+func (k *call) heard(l List, kind micafront.ListKind) error {
 	c := k.c
+	if err := c.sane(l, kind == micafront.FullList); err != nil {
+		return err
+	}
 	if k == c.former {
 		c.Heard(l, kind)
-		return
+		return nil
+	}
+	if l.Generation < c.Generation {
+		held := c.Generation
+		c.Generation = 0
+		return fmt.Errorf("%w: generation %d after %d", ErrBroken, l.Generation, held)
 	}
 	c.Generation = l.Generation
 	if c.moved {
@@ -243,5 +278,6 @@
 			c.Fetch()
 		}
 	}
-	c.Heard(l, kind)
+	c.take(l, kind)
+	return nil
 }
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"time"
+	"unicode/utf8"
 
 	"example.org/micafront"
 	"example.org/micafront/internal/routing"
@@ -45,19 +46,30 @@
 // ParseList reads one object and refuses one that makes no sense.
 func ParseList(text []byte) (List, error) {
 	var l List
+	if !utf8.Valid(text) {
+		return l, fmt.Errorf("%w: not UTF-8", ErrBroken)
+	}
 	if err := json.Unmarshal(text, &l); err != nil {
 		return l, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
+	if l.Generation < 0 {
+		return l, fmt.Errorf("%w: generation %d", ErrBroken, l.Generation)
+	}
 	if l.Instances == nil && l.Reset { // a whole list of nothing would send everybody away
 		return l, fmt.Errorf("%w: no instances", ErrBroken)
 	}
-	for _, e := range l.Instances {
-		if _, ok := phases[e.Lifecycle]; !ok || e.ID == "" {
-			return l, fmt.Errorf("%w: entry %q has lifecycle %q", ErrBroken, e.ID, e.Lifecycle)
-		}
-		if e.StartedAtMs < 0 || e.StartedAtMs > math.MaxInt64/int64(time.Millisecond) {
-			return l, fmt.Errorf("%w: entry %q started at %d", ErrBroken, e.ID, e.StartedAtMs)
+	at := make(map[string]int, len(l.Instances))
+	for i, e := range l.Instances {
+		first, named := at[e.ID]
+		switch _, known := phases[e.Lifecycle]; {
+		case !known || e.ID == "":
+			return l, fmt.Errorf("%w: entry %d, %q, has lifecycle %q", ErrBroken, i+1, e.ID, e.Lifecycle)
+		case e.StartedAtMs < 0 || e.StartedAtMs > math.MaxInt64/int64(time.Millisecond):
+			return l, fmt.Errorf("%w: entry %d, %q, started at %d", ErrBroken, i+1, e.ID, e.StartedAtMs)
+		case named && l.Reset: // changes may name one as often as it has changed
+			return l, fmt.Errorf("%w: entries %d and %d are both %q", ErrBroken, first+1, i+1, e.ID)
 		}
+		at[e.ID] = i
 	}
 	return l, nil
 }
--- a/internal/standin/scripted.go
+++ b/internal/standin/scripted.go
@@ -112,8 +112,9 @@
 // Discovery answers one watch at a time, by script.
 type Discovery struct {
 	Addr    string
-	Lists   chan string // what the watch sends next; "" ends it
-	Watches chan string // queries of the watches that came
+	Lists   chan string           // what the watch sends next; "" ends it
+	Watches chan string           // queries of the watches that came
+	Instead chan http.HandlerFunc // how the next calls are answered, a call each, in place of a watch
 }
 
 // NewDiscovery listens.
@@ -123,7 +124,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &Discovery{l.Addr().String(), make(chan string, 16), make(chan string, 64)}
+	d := &Discovery{l.Addr().String(), make(chan string, 16), make(chan string, 64), make(chan http.HandlerFunc, 16)}
 	srv := &http.Server{Handler: http.HandlerFunc(d.watch)}
 	go srv.Serve(l)
 	t.Cleanup(func() { srv.Close() })
@@ -132,6 +133,12 @@
 
 func (d *Discovery) watch(rw http.ResponseWriter, r *http.Request) {
 	d.Watches <- r.URL.RawQuery
+	select {
+	case answer := <-d.Instead:
+		answer(rw, r)
+		return
+	default:
+	}
 	rw.WriteHeader(200)
 	for {
 		rw.(http.Flusher).Flush()
