Count only bytes of the object at fault in a failed call's line

Seen on reading the change again: a watch's line that makes no sense is cut off before it is read, so `M bytes of it` counted those of the next object behind it (internal/registry, call.fail). The log sent staff to the wrong one.

Change: bytes are told only where an object was not whole, that is where the fault is not in the object itself.

Measured: a new case of TestDiscoveryTalksNonsense, a list of another form with a good one behind it; without the change it reads `object 1, 46 bytes of it`.

--- a/cmd/micafront/discovery_test.go
+++ b/cmd/micafront/discovery_test.go
@@ -88,6 +88,7 @@
 		{"half a line and silence", says(true, standin.List(2, false), `{"generation":3,"ins`), "the watch fell silent (", false, "watch=1&from=2"},
 		{"malformed JSON", says(true, standin.List(2, false), `{"generation":3,"instances":[{]}`, ""), "object 2", true, "watch=1&from=2"},
 		{"another form", says(true, `[1,2]`, ""), "transport map", true, ""},
+		{"another form, and more behind it", says(true, `[1,2]`, standin.List(3, false), ""), "object 1)", true, ""},
 		{"a generation below 0", says(true, standin.List(-1, false, good), ""), "generation -1", true, ""},
 		{"a generation that goes back", says(true, standin.List(5, false), standin.List(4, false, good), ""), "generation 4 after 5", true, "watch=1&from=0"},
 		{"a whole list of nobody", says(true, standin.List(3, true), ""), "names nobody", true, ""},
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -147,7 +147,7 @@
 		k.c.watch = nil
 	}
 	place := fmt.Sprintf("%s %s, object %d", k.addr, k.path, k.count+1)
-	if n := len(k.line); n > 0 {
+	if n := len(k.line); n > 0 && !errors.Is(err, ErrBroken) { // else the object was whole, and these are the next one's
 		place += fmt.Sprintf(", %d bytes of it", n)
 	}
 	k.c.Failed(fmt.Errorf("discovery: %w (%s)", err, place))
@@ -180,7 +180,8 @@
 		if err == nil {
 			err = k.c.sane(l, true)
 		}
-		if k.line = nil; err != nil {
+		k.line = nil // the object was whole
+		if err != nil {
 			k.fail(err)
 		} else if k.c.watch != nil && l.Generation < k.c.Generation {
 			k.fail(errors.New("the list was overtaken by the watch")) // it must not go back in time
