Share the tests' asking for a connection; drop what discovery's calls derive

Read over once more, behaviour unchanged.

- cmd/micafront's tests had three copies of "ask, and let a next hop take it": ask, served, and the one that the discovery tests added.
All call offer now.
- A call of internal/registry kept its address.
Calls whose failure is told always go to the client's: Move stops the others, or has them end unheard.
- heard() set the generation that take() sets; nothing read it in between.
- The comment on Named said what it is not: it stays once anybody was named.

--- a/cmd/micafront/discovery_test.go
+++ b/cmd/micafront/discovery_test.go
@@ -46,28 +46,20 @@
 	}
 }
 
-// served asks for a connection and gives all that the client hears, while a next hop takes it and ends it.
-func served(w *world, conns chan *standin.Peer) []string {
+// hearOut asks for a connection and gives all that the client hears, while a next hop takes it and ends it.
+func hearOut(w *world, conns chan *standin.Peer) []string {
 	c := w.dial()
 	defer c.Close()
-	c.Say(opening("key"))
-	heard := make(chan []string, 1)
-	go func() {
-		var all []string
+	all, _ := offer(c, conns, "key", func(hop *standin.Peer) {
+		hop.Say("UP r\r\nBYE\r\n")
+		hop.CloseWrite()
+	}, func() (all []string) {
 		for l := ""; l != "EOF" && l != "RST"; all = append(all, l) {
 			l = c.Line()
 		}
-		heard <- all
-	}()
-	select {
-	case s := <-conns:
-		s.Line()
-		s.Say("UP r\r\nBYE\r\n")
-		s.CloseWrite()
-		return <-heard
-	case lines := <-heard:
-		return lines
-	}
+		return all
+	})
+	return all
 }
 
 // Whatever discovery says, the last good list stays in force and every request gets its one answer; the log names place and
@@ -119,7 +111,7 @@
 			}
 			w.counts("list_failures=1")
 			w.counts(fmt.Sprintf("list_broken=%d", map[bool]int{true: 1}[c.broken]))
-			Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, served(w, conns))
+			Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, hearOut(w, conns))
 			w.figures(map[string]string{"svc.members": "1", "svc.members_unavailable": "0"})
 		})
 	}
@@ -142,7 +134,7 @@
 	w.counts("lists=4") // the known one is one of them
 	w.figures(map[string]string{"svc.members": "600"})
 	for range 10 {
-		Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, served(w, conns))
+		Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, hearOut(w, conns))
 	}
 	w.counts("list_failures=0")
 }
@@ -169,8 +161,8 @@
 			}
 			w.figures(map[string]string{"svc.members": "1"})
 			// The table follows at the next epoch; until then each request gets its one refusal.
-			got := served(w, conns)
-			for ; strings.HasPrefix(got[0], "BUSY"); got = served(w, conns) {
+			got := hearOut(w, conns)
+			for ; strings.HasPrefix(got[0], "BUSY"); got = hearOut(w, conns) {
 				Equal(t, "after a refusal", "EOF", got[1])
 			}
 			Equal(t, "answer", []string{"UP r", "BYE", "EOF"}, got)
--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -237,20 +237,30 @@
 	}
 }
 
-// ask opens a connection and reads the answer, while a next hop may have to give it first.
-func ask(p *standin.Peer, conns chan *standin.Peer) string {
-	p.Say(opening("key"))
-	got := make(chan string, 1)
-	go func() { got <- p.Line() }()
+// offer opens a connection and gives what the client reads, and whether a next hop took it.
+func offer[V any](p *standin.Peer, conns chan *standin.Peer, key string, take func(hop *standin.Peer), read func() V) (heard V, taken bool) {
+	p.Say(opening(key))
+	got := make(chan V, 1)
+	go func() { got <- read() }()
 	select {
 	case s := <-conns:
 		s.Line()
-		s.Say("UP r\r\n")
-		return <-got
-	case l := <-got:
+		take(s)
+		return <-got, true
+	case heard = <-got:
+		return heard, false
+	}
+}
+
+func up(hop *standin.Peer) { hop.Say("UP r\r\n") }
+
+// ask opens a connection and reads the answer, while a next hop may have to give it first.
+func ask(p *standin.Peer, conns chan *standin.Peer) string {
+	l, taken := offer(p, conns, "key", up, p.Line)
+	if !taken {
 		p.Close() // many may ask in vain
-		return l
 	}
+	return l
 }
 
 func TestStop(t *testing.T) {
--- a/cmd/micafront/pools_test.go
+++ b/cmd/micafront/pools_test.go
@@ -50,18 +50,11 @@
 	w.t.Helper()
 	for end := time.Now().Add(standin.Patience); time.Now().Before(end); {
 		c := w.dial()
-		c.Say(opening(key))
-		got := make(chan string, 1)
-		go func() { got <- c.Line() }()
-		select {
-		case s := <-conns:
-			s.Line()
-			s.Say("UP r\r\n")
-			Equal(w.t, "answer", "UP r", <-got)
+		if l, taken := offer(c, conns, key, up, c.Line); taken {
+			Equal(w.t, "answer", "UP r", l)
 			return
-		case <-got:
-			c.Close()
 		}
+		c.Close()
 	}
 	w.t.Fatal("never served")
 }
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -26,7 +26,7 @@
 	Loop       *evloop.Loop
 	Addr       string
 	Generation int64 // of the latest list
-	Named      bool  // that list named somebody
+	Named      bool  // some list has named somebody
 	Heard      func(List, micafront.ListKind)
 	Failed     func(error)
 
@@ -99,7 +99,6 @@
 
 type call struct {
 	c      *Client
-	addr   string
 	count  int // of objects that came whole
 	conn   *evloop.Conn
 	parser *parser
@@ -112,7 +111,7 @@
 }
 
 func (c *Client) call(path string, watch bool) *call {
-	k := &call{c: c, addr: c.Addr, watch: watch, path: path}
+	k := &call{c: c, watch: watch, path: path}
 	k.parser = newParser(k.body)
 	k.limit = c.Loop.After(callTime, func() { k.fail(errors.New("no answer in time")) })
 	conn, err := c.Loop.Dial(c.Addr, k)
@@ -146,7 +145,7 @@
 	if k.c.watch == k {
 		k.c.watch = nil
 	}
-	place := fmt.Sprintf("%s %s, object %d", k.addr, k.path, k.count+1)
+	place := fmt.Sprintf("%s %s, object %d", k.c.Addr, k.path, k.count+1)
 	if n := len(k.line); n > 0 && !errors.Is(err, ErrBroken) { // else the object was whole, and these are the next one's
 		place += fmt.Sprintf(", %d bytes of it", n)
 	}
@@ -270,7 +269,6 @@
 		c.Generation = 0
 		return fmt.Errorf("%w: generation %d after %d", ErrBroken, l.Generation, held)
 	}
-	c.Generation = l.Generation
 	if c.moved {
 		c.moved = false
 		c.forgetFormer()
