--- /dev/null
+++ b/scripts/scripts_test.go
@@ -0,0 +1,100 @@
+package scripts_test
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	mass  = "calm+mass   G 0.813  floor 0.497  top 0.947  score 0.70\nscore of the real nodes 0.646 (seven tenths)\n"
+	later = "upgrade   G 0.9  floor 0.5  top 0.9  score 0.98\nscore of the real nodes 0.969 (seven tenths)\n"
+	sim   = "quick estimate on the standard days of thies-albums (set 89b77dad): 0.941, +0.000 against snapshot b17c1464\n"
+)
+
+// kit writes a stand-in for the operators' kit, whose programs print what they are given.
+func kit(t *testing.T, mass, later, sim string) string {
+	t.Helper()
+	dir := t.TempDir()
+	write := func(name, text string, mode os.FileMode) {
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), mode); err != nil {
+			t.Fatal(err)
+		}
+	}
+	say := func(text string) string { return "cat <<'E'\n" + text + "E\n" }
+	write("sites/thies-albums.toml", "", 0o644)
+	write("more/mass/bin/lbreal", "#!/bin/sh\ncase \"$*\" in *later*) "+say(later)+";; *) "+say(mass)+";; esac\n", 0o755)
+	write("more/bin/lbreal", "#!/bin/sh\n"+say("herd+vast   G 0.8  score 0.79\nscore of the real nodes 0.792 (seven tenths)\n"), 0o755)
+	write("bin/lbsim", "#!/bin/sh\n"+say(sim), 0o755)
+	return dir
+}
+
+func TestReleaseCheck(t *testing.T) {
+	for _, c := range []struct {
+		name, mass, later, sim string
+		noKit                  bool
+		code                   int
+		want                   []string
+	}{
+		{"all pass", mass + "GATE passed\n", later, sim, false, 0,
+			[]string{"mass-quick calm+mass 0.71 0.70 kept", "simulator-quick", "0.941", "all passed"}},
+		{"a figure fell", mass + "GATE passed\n", strings.ReplaceAll(later, "0.969", "0.931"), sim, false, 0,
+			[]string{"later-quick total 0.969 0.931 fell"}},
+		{"the gate failed", mass + "GATE failed: drain on calm+mass\n", later, sim, false, 1, []string{"GATE failed: drain on calm+mass", "FAILED"}},
+		{"no verdict", mass, later, sim, false, 1, []string{"no gate's verdict"}},
+		{"a day reads nothing", mass + "GATE passed\n", strings.ReplaceAll(later, "0.98", "0.00"), sim, false, 1, []string{"upgrade reads 0.00"}},
+		{"no figure", mass + "GATE passed\n", later, "the adapter crashed\n", false, 1, []string{"simulator failed: no figure"}},
+		{"a rule was broken", mass + "GATE passed\n", later, sim + "rules: drain 3\n", false, 1, []string{"simulator failed: rules: drain 3"}},
+		{"no kit", "", "", "", true, 2, []string{"no operators' kit"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			record := filepath.Join(t.TempDir(), "figures.tsv")
+			was := "# before\nmass-quick\tcalm+mass\t0.71\nlater-quick\ttotal\t0.969\nmass-full\ttotal\t0.642\n"
+			if err := os.WriteFile(record, []byte(was), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			place := filepath.Join(t.TempDir(), "none")
+			if !c.noKit {
+				place = kit(t, c.mass, c.later, c.sim)
+			}
+			cmd := exec.Command("./release-check", "--quick", "--record")
+			cmd.Env = append(os.Environ(), "KIT="+place, "RECORD_FILE="+record)
+			out, err := cmd.CombinedOutput()
+			code := 0
+			var exit *exec.ExitError
+			if errors.As(err, &exit) {
+				code = exit.ExitCode()
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			if code != c.code {
+				t.Errorf("exit code %d, want %d", code, c.code)
+			}
+			for _, want := range c.want {
+				if !strings.Contains(strings.Join(strings.Fields(string(out)), " "), want) {
+					t.Errorf("does not say %q", want)
+				}
+			}
+			now, err := os.ReadFile(record)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.code != 0 && string(now) != was {
+				t.Errorf("recorded after a failure:\n%s", now)
+			}
+			if c.code == 0 && (!strings.Contains(string(now), "mass-full\ttotal\t0.642\n") || !strings.Contains(string(now), "mass-quick\tcalm+mass\t0.70\n")) {
+				t.Errorf("recorded:\n%s", now)
+			}
+			if t.Failed() {
+				t.Logf("%s", out)
+			}
+		})
+	}
+}
