--- a/snapshot.go
+++ b/snapshot.go
@@ -123,15 +123,15 @@
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s.ServerOf[id] = w.server(b.servers[id])
 	}
-	s.Table = w.table(&b.table)
+	s.Table = tableState(&b.table, w.server)
 	for _, zone := range slices.Sorted(maps.Keys(b.zoned)) {
-		s.Zoned[zone] = w.table(b.zoned[zone])
+		s.Zoned[zone] = tableState(b.zoned[zone], w.server)
 		if b.zoned[zone] == b.home {
 			s.HomeZone = zone
 		}
 	}
 	if s.HomeZone == "" || b.zoned[s.HomeZone] != b.home {
-		home := w.table(b.home)
+		home := tableState(b.home, w.server)
 		s.Home = &home
 	}
 	for i, seen := range b.seen {
@@ -185,18 +185,6 @@
 	return i
 }
 
-func (w *snapshotter) table(t *table) TableState {
-	out := TableState{Counts: slices.Clone(t.counts), Unit: t.unit}
-	for _, v := range t.owner {
-		out.Owner = append(out.Owner, w.server(v))
-	}
-	if t.before != nil {
-		before := w.table(t.before)
-		out.Before = &before
-	}
-	return out
-}
-
 func (w *snapshotter) request(b *Balancer, r *request) RequestSnapshot {
 	out := RequestSnapshot{Request: r.Request, Class: w.class(r.class), KeyID: r.key, ClientID: r.client, Token: r.token,
 		Timed: r.token != "" && b.timers[r.token] == r, Attempts: r.attempts, Place: r.place, At: w.server(r.at),
--- a/state.go
+++ b/state.go
@@ -34,6 +34,20 @@
 	Before *TableState
 }
 
+// tableState writes a table and its earlier forms, its slots' owners as the indices that index gives them, in
+// the order of the slots and then of the earlier form: a snapshot numbers servers as it meets them.
+func tableState(t *table, index func(*server) int) TableState {
+	out := TableState{Counts: slices.Clone(t.counts), Owner: make([]int, len(t.owner)), Unit: t.unit}
+	for i, v := range t.owner {
+		out.Owner[i] = index(v)
+	}
+	if t.before != nil {
+		before := tableState(t.before, index)
+		out.Before = &before
+	}
+	return out
+}
+
 // SuspicionState is the failures since the last success.
 type SuspicionState struct {
 	Fails   int
@@ -78,22 +92,10 @@
 			Suspicion: SuspicionState{v.fails, v.retryAt}, Started: v.started, BrokeAt: v.brokeAt, Crashed: v.crashed,
 			Delay: v.delay, DelayAt: v.delayAt, Load: v.load, LoadAt: v.loadAt, Tokens: v.tokens, TokensAt: v.tokensAt})
 	}
-	var save func(*table) TableState
-	save = func(t *table) TableState {
-		owner := make([]int, len(t.owner))
-		for i, v := range t.owner {
-			owner[i] = index[v]
-		}
-		out := TableState{Counts: slices.Clone(t.counts), Owner: owner, Unit: t.unit}
-		if t.before != nil {
-			before := save(t.before)
-			out.Before = &before
-		}
-		return out
-	}
-	s.Table = save(&b.table)
+	at := func(v *server) int { return index[v] }
+	s.Table = tableState(&b.table, at)
 	for zone, t := range b.zoned {
-		s.Zoned[zone] = save(t)
+		s.Zoned[zone] = tableState(t, at)
 	}
 	for zone, z := range b.zones {
 		s.Zones[zone] = SuspicionState{z.fails, z.retryAt}
