Place, move and refuse by servers' own load reports, and keep tenants' shares

The settings allow probes that tell load over capacity; nothing asked for them (`place`, `press` in balancer.go and fleet.go go by delay notes, which come when messages are late already).

Change: package reports (what reports say, pure), shares (contracts, ranks, reservation, reclaim, pure); groups and keys leave the policy files for packages of their own.

--- a/api.go
+++ b/api.go
@@ -78,6 +78,7 @@
 	Rules          Rules
 	Subscribe      bool    // discovery speaks only when asked
 	PassThrough    bool    // packets pass through; connections outlive the node
+	Reports        bool    // probes bring load over capacity, and connections held
 	OverShareWorth float64 // worth of work beyond a tenant's share, as a proportion
 }
 
@@ -130,6 +131,13 @@
 // Load is a server's report of itself, by the names of WIRE's load report.
 type Load map[string]float64
 
+// The fields of a report that decisions need: the load asked of a server over what it can do, and the connections that
+// it holds.
+const (
+	ReportLoad = "x0"
+	ReportHeld = "outstanding"
+)
+
 // Event is anything a Balancer can be told.
 type Event interface{ event() }
 
--- a/balancer.go
+++ b/balancer.go
@@ -4,11 +4,17 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"example.org/micafront/groups"
+	"example.org/micafront/keys"
+	"example.org/micafront/reports"
+	"example.org/micafront/shares"
 )
 
 // Balancer is one node's decision state. It is a deterministic state machine: the same seed and events give
@@ -29,7 +35,7 @@
 	servers    map[string]*server
 	zones      map[string]*suspicion
 	tenants    map[string]int // attempts and connections of each tenant
-	shares     map[string]*Tenant
+	shares     map[string]shares.Contract
 	held       int     // attempts and connections of this node
 	weight     float64 // and their load
 	capacity   float64 // Size of the fleet, less what is cold or suspect, as of this epoch
@@ -42,7 +48,8 @@
 	homeShare  float64               // of the keys that walk the home table first
 	usualPart  float64               // of the capacity in this zone when last still, times zones
 	zoneCount  int
-	crowd      crowd
+	crowd      groups.Crowd
+	told       reports.Fleet // what servers say of their load
 	started    bool
 	startedAt  Instant
 	listDirty  bool
@@ -60,7 +67,7 @@
 	minMessageAim time.Duration
 }
 
-const watchToken = "watch"
+const watchToken, reportToken = "watch", "reports"
 
 // request is a client's request until its last outcome, or an open connection until its end.
 type request struct {
@@ -91,7 +98,7 @@
 	}
 	source := rand.NewPCG(seed, 0)
 	b := &Balancer{set: set, rng: rand.New(source), source: source, gate: 1,
-		classes: map[string]*Class{}, usual: map[string]float64{}, crowd: crowd{count: map[uint64]float64{}},
+		classes: map[string]*Class{}, usual: map[string]float64{}, crowd: groups.New(),
 		requests: map[string]*request{}, timers: map[string]*request{},
 		zoned: map[string]*table{}, home: &table{},
 		seen:    [2]map[uint64]*server{{}, {}},
@@ -137,6 +144,8 @@
 		if s := b.servers[e.Server]; s != nil && e.Delay >= 0 {
 			b.slow(s, e.Delay)
 		}
+	case Probed:
+		b.report(e)
 	case Timer:
 		b.tick(e.Token)
 	}
@@ -155,6 +164,10 @@
 		b.do(Watch{On: true})
 		return
 	}
+	if token == reportToken {
+		b.askReports()
+		return
+	}
 	if id, ok := strings.CutPrefix(token, leaveToken); ok {
 		if s := b.servers[id]; s != nil {
 			b.leaveTurn(s)
@@ -171,17 +184,20 @@
 	if r.class == nil {
 		r.class = &b.set.Classes[0] // a class not in the settings is treated as the first one
 	}
-	r.client = keyID(e.Key)
+	r.client = keys.ID(e.Key)
 	if e.Key == "" {
-		r.client = keyID(e.ID)
+		r.client = keys.ID(e.ID)
 	}
 	r.key = r.client
 	if e.Group != "" {
-		group := keyID(e.Group)
+		group := keys.ID(e.Group)
 		if !e.Returned && !e.Repeat && !e.MidFlow {
-			b.crowd.meet(group)
+			b.crowd.Meet(group)
+		}
+		r.key = group
+		if !b.set.Reports { // with reports a group spreads as far as its servers are told to be loaded
+			r.key = b.part(group, r.client)
 		}
-		r.key = b.part(group, r.client)
 	}
 	b.requests[e.ID] = r
 	return r
@@ -296,17 +312,23 @@
 		}
 	}
 	var spare *server
+	bound, least := reports.Bound(b.told.Load(b.now)), math.Inf(1)
 	for i := range maxCandidates {
 		s := b.candidate(r, i)
 		// A gate stops what spills from jammed servers, which would jam the next ones, not what has a place
 		// of its own where nothing is wrong, as on a server that has just come.
-		if s == nil || r.gated && (i > 0 || b.loadFraction(s) < 1 || b.full(s)) {
+		if s == nil || r.gated && (b.set.Reports || i > 0 || b.loadFraction(s) < 1 || b.full(s)) {
 			return nil
 		}
-		if slices.Contains(r.tried, s) || !b.mayRepeat(r, s) {
+		if slices.Contains(r.tried, s) || !b.mayRepeat(r, s) || !b.admits(r, s) {
 			continue
 		}
-		if !b.admits(r, s) {
+		if b.set.Reports { // a group fills server after server along its chain, and each pays for few groups
+			if load := b.told.Expected(s.id, s.size, b.price(r, s)); load < bound {
+				return s
+			} else if load < least {
+				spare, least = s, load
+			}
 			continue
 		}
 		if !b.full(s) {
@@ -326,6 +348,9 @@
 	}
 	r.attempts++
 	r.sentAt = b.now
+	if b.set.Reports {
+		b.told.Sent(s.id, s.size, b.price(r, s))
+	}
 	b.hold(r, s)
 	r.tried = append(r.tried, s)
 	s.tokens--
--- a/fleet.go
+++ b/fleet.go
@@ -5,6 +5,10 @@
 	"math"
 	"slices"
 	"time"
+
+	"example.org/micafront/keys"
+	"example.org/micafront/reports"
+	"example.org/micafront/shares"
 )
 
 // This file is the evidence on each server and how much of its keys it admits.
@@ -28,6 +32,7 @@
 	held    []*request // attempts and connections of this node at it
 	weight  float64    // and their load
 
+	told    reports.Evidence
 	leaving int     // turns left in which its connections are sent away
 	leaveBy Instant // when that begins even if the gate is not open
 
@@ -56,7 +61,7 @@
 		seen[e.Server] = true
 		s := b.servers[e.Server]
 		if s == nil {
-			s = &server{id: e.Server, hash: keyID(e.Server), phase: Gone, load: 1,
+			s = &server{id: e.Server, hash: keys.ID(e.Server), phase: Gone, load: 1,
 				tokens: b.rng.Float64(), tokensAt: b.now}
 			b.servers[e.Server] = s
 		}
@@ -78,6 +83,7 @@
 			// A restart: what was known of the process is void, and it is cold.
 			s.started = e.StartedAt
 			s.suspicion, s.crashed, s.load, s.delay = suspicion{}, false, 1, 0
+			b.told.Forget(s.id)
 			s.tokens, s.tokensAt = b.rng.Float64(), b.now
 		}
 	}
@@ -97,6 +103,7 @@
 		b.table.snap(ready)
 		b.eachZone(ready, (*table).snap)
 		b.survey(ready)
+		b.askReports()
 		if b.set.Subscribe {
 			// All nodes may start at once; a registry of fixed size is asked in turn.
 			b.timer(watchToken, time.Duration(b.rng.Float64()*float64(b.set.Rules.AskEvery)/4))
@@ -172,7 +179,7 @@
 	}
 	// A cold server's part of the keys runs ahead of its warmth: what it is sent is the budget's to bound.
 	f := math.Sqrt(b.warmth(s)) * b.loadFraction(s)
-	if f < 1 && chance(r.key, s.hash) >= f {
+	if f < 1 && keys.Chance(r.key, s.hash) >= f {
 		return false
 	}
 	return b.coldBudget(s)
@@ -383,61 +390,46 @@
 	return s.load
 }
 
-// press keeps the node's own admission. Each server's evidence is thin where many nodes share the traffic,
-// and spilling from one jammed server to the next jams all of them when the fleet as a whole is short. So a
-// node pools what its connections suffer: while more than a seventh of them is in trouble it lets in ever
-// fewer new ones, else more. A seventh is what uneven groups cause in an ample fleet. Those turned
-// away come back within a second or so, so both go as fast as that.
+// press keeps the node's own admission by what its connections have suffered since it was last pressed.
 func (b *Balancer) press() {
-	step := b.set.Rules.Fall / 2 // twice within the time in which overload does harm
-	if b.now-b.pressedAt < step {
+	span := b.now - b.pressedAt
+	if span < b.set.Rules.Fall/2 { // twice within the time in which overload does harm
 		return
 	}
-	span := (b.now - b.pressedAt).Seconds()
-	pain := min(b.pain/span/max(float64(b.held), 1), 1)
+	b.gate = shares.Press(b.gate, b.pain/span.Seconds()/max(float64(b.held), 1), span.Seconds())
 	b.pain, b.pressedAt = 0, b.now
-	const bearable = 0.15
-	if pain > bearable {
-		b.gate *= 1 - min(2*(pain-bearable)*min(span, 1), 0.8)
-	} else {
-		b.gate *= 1 + 4*(bearable-pain)*min(span, 1)
-	}
-	b.gate = min(max(b.gate, 0.1), 1) // so that it is open soon after even a stall of all servers
 }
 
 // letIn tells whether the node's gate is open for a request. A client meets the same answer at each node and
 // each time it comes again, so that a crowd that retries does not work its way in; the classes that bring
-// little worth for their load go first.
+// little worth for their load go first, and what is beyond a tenant's share before them.
 func (b *Balancer) letIn(r *request) bool {
-	if b.gate >= 1 || r.MidFlow {
+	if b.gate >= 1 && !b.set.Reports || r.MidFlow {
 		return true
 	}
-	density := r.class.Worth / b.usualLoad(r.class)
-	if b.overShare(r) {
+	density, best := r.class.Worth/b.usualLoad(r.class), 0.0
+	for i := range b.set.Classes {
+		c := &b.set.Classes[i]
+		best = max(best, c.Worth/b.usualLoad(c))
+	}
+	// By a gate always the same clients are taken for the surplus; by reports all are until there is none.
+	if over := b.surplus(r); over > 0 && (b.set.Reports || keys.Chance(r.client, 1) > 1-over) {
 		density *= b.set.OverShareWorth
 	}
-	const tiny = 1e-12 // where no class brings anything, all are alike
-	return chance(r.client, 0) < math.Pow(b.gate, (b.bestDensity()+tiny)/(density+tiny))
-}
-
-// overShare tells whether a client belongs to what its tenant asks beyond its share of what this node holds,
-// with room for scatter. Always the same clients of a tenant are taken for its surplus.
-func (b *Balancer) overShare(r *request) bool {
-	t := b.shares[r.Tenant]
-	if t == nil {
-		return false
+	rank := shares.Rank(density, best)
+	if b.set.Reports {
+		return b.told.Load(b.now) < shares.Limit(rank)
 	}
-	fair := max(t.Share*float64(b.held), t.Connections/float64(b.set.Nodes))
-	return chance(r.client, 1)*float64(b.tenants[r.Tenant]) > fair+math.Sqrt(fair)+1
+	return keys.Chance(r.client, 0) < shares.Part(b.gate, rank)
 }
 
-func (b *Balancer) bestDensity() float64 {
-	best := 0.0
-	for i := range b.set.Classes {
-		c := &b.set.Classes[i]
-		best = max(best, c.Worth/b.usualLoad(c))
+// surplus is the part of its tenant's connections here that is beyond the tenant's share, 0 without a contract.
+func (b *Balancer) surplus(r *request) float64 {
+	contract, known := b.shares[r.Tenant]
+	if !known {
+		return 0
 	}
-	return best
+	return contract.Surplus(b.held, b.tenants[r.Tenant], b.set.Nodes)
 }
 
 // broke takes the loss of a connection that stood. A server with too much piled up drops connections one by
@@ -457,7 +449,7 @@
 // notes begin, to a trickle at the aim, where the server's connections earn nothing.
 func (b *Balancer) slow(s *server, delay time.Duration) {
 	aim := float64(b.minMessageAim)
-	if aim == 0 {
+	if aim == 0 || b.set.Reports { // reports tell the same of each server, and earlier
 		return
 	}
 	f := max(min((aim-float64(delay))/(aim*2/3), 1), leastLoad)
@@ -500,20 +492,71 @@
 	} else if b.jammed() > shortFleet {
 		share /= 3
 	}
-	excess := share * min(max(2*slowness-1, 0), 1) * s.weight
-	open := s.standing()
-	slices.SortStableFunc(open, func(x, y *request) int {
+	b.shed(s, share*min(max(2*slowness-1, 0), 1)*s.weight, func(x, y *request) int {
 		return cmp.Compare(x.class.Worth*y.weight, y.class.Worth*x.weight)
 	})
+}
+
+// shed moves so much load off a server, in that order.
+func (b *Balancer) shed(s *server, excess float64, order func(x, y *request) int) {
+	open := s.standing()
+	slices.SortStableFunc(open, order)
 	for _, r := range open {
 		if excess < r.weight && b.rng.Float64()*r.weight >= excess {
 			return
 		}
 		r.moved = true
 		b.do(Move{ID: r.ID})
-		excess -= r.weight
-		if excess <= 0 {
+		if excess -= r.weight; excess <= 0 {
 			return
 		}
 	}
 }
+
+// askReports asks for the load reports that are due, and comes back not in step with other nodes.
+func (b *Balancer) askReports() {
+	if !b.set.Reports {
+		return
+	}
+	every := reports.Every(b.now-b.startedAt, b.set.Rules.Fall)
+	for _, s := range b.ready() {
+		if !b.shuns(s) && b.told.Due(s.id, s.size, b.now, every) {
+			b.do(Probe{Server: s.id})
+		}
+	}
+	b.timer(reportToken, time.Duration((0.5+b.rng.Float64())*float64(every)/4))
+}
+
+// report takes a server's word on its load. Groups of which least is there leave first: each has its price.
+func (b *Balancer) report(e Probed) {
+	s := b.servers[e.Server]
+	load, told := e.Load[ReportLoad]
+	if s == nil || !told || !(load >= 0 && load <= 1e6) {
+		return
+	}
+	b.told.Hear(s.id, s.size, b.now, load, e.Load[ReportHeld])
+	fleet := b.told.Load(b.now)
+	excess, held, lent := reports.Excess(load, fleet)*s.weight, map[string]float64{}, 0.0
+	for _, r := range s.held {
+		held[r.Group] += r.weight
+		lent += r.weight * b.surplus(r)
+	}
+	excess = max(excess, shares.Reclaim(fleet)*lent)
+	if s.phase != Ready || excess == 0 {
+		return
+	}
+	b.shed(s, excess, func(x, y *request) int {
+		return cmp.Or(cmp.Compare(b.surplus(y), b.surplus(x)),
+			cmp.Compare(held[x.Group], held[y.Group]), cmp.Compare(x.Group, y.Group),
+			cmp.Compare(x.class.Worth*y.weight, y.class.Worth*x.weight))
+	})
+}
+
+// price is what a request adds to a server, in mean connections.
+func (b *Balancer) price(r *request, s *server) float64 {
+	same := func(h *request) bool { return h != r && h.Group == r.Group }
+	if r.Group == "" || slices.ContainsFunc(s.held, same) {
+		return b.usualLoad(r.class)
+	}
+	return b.usualLoad(r.class) + reports.GroupCost
+}
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"example.org/micafront"
 )
@@ -34,6 +35,10 @@
 		AnswerSlack, AskEvery, Cold, ColdFrom, DrainGrace, Fall, OverloadFactor float64
 	}
 	OverShareWorth float64
+	Stats          struct {
+		How    string
+		Fields []string
+	}
 }
 
 var effects = map[string]micafront.Effect{
@@ -44,7 +49,8 @@
 
 func (e *envJSON) settings() micafront.Settings {
 	s := micafront.Settings{Nodes: e.Balancers, Self: e.Me, Zone: e.Zone, Subscribe: e.Discovery == "subscribe",
-		PassThrough: e.FamilyInfo.Mode == "pass", OverShareWorth: e.OverShareWorth}
+		PassThrough: e.FamilyInfo.Mode == "pass", OverShareWorth: e.OverShareWorth,
+		Reports: e.Limits.Probes && e.Stats.How != "none" && slices.Contains(e.Stats.Fields, micafront.ReportLoad)}
 	for i, c := range e.Categories {
 		class := micafront.Class{Name: c.Name, Aim: Seconds(c.Aim), GiveUp: Seconds(c.GiveUp), Worth: c.Credit,
 			Dedup: scopes[c.DedupScope], Memory: Seconds(c.MemorySpan), Effect: micafront.Unsafe}
--- a/plastic.go
+++ b/plastic.go
@@ -3,44 +3,14 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
+
+	"example.org/micafront/keys"
 )
 
 // This file is the ordinary path: plastic hashing (Natrajan 2020) over slots, the paper's virtual hosts.
 
-// keyID is the fixed, seedless hash (FNV-1a, finished by scramble) that gives every node the same id for a
-// key.
-func keyID(key string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(key); i++ {
-		h = (h ^ uint64(key[i])) * 1099511628211
-	}
-	return scramble(h)
-}
-
-// scramble is the splitmix64 finisher; it makes all bits depend on all bits, so that modulo by any count is
-// even.
-func scramble(h uint64) uint64 {
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
-// remix gives a key's id for its i-th candidate; candidate 0 is the plain walk.
-func remix(id uint64, i int) uint64 {
-	if i == 0 {
-		return id
-	}
-	return scramble(id + uint64(i)*0x9e3779b97f4a7c15)
-}
-
-// chance maps a key and a server to the same even number in [0,1) on every node.
-func chance(key, server uint64) float64 {
-	return float64(scramble(key^scramble(server))>>11) / (1 << 53)
-}
-
 // walk is the paper's algorithm: follow the history of counts and move a key only when growth lands it on a
 // new ordinal or shrinkage removes its own.
 func walk(id uint64, counts []int) int {
@@ -90,7 +60,7 @@
 	for _, s := range servers {
 		n := t.slotsFor(s)
 		for k := range n {
-			slots = append(slots, slot{(float64(k) + chance(uint64(k), s.hash)) / float64(n), s})
+			slots = append(slots, slot{(float64(k) + keys.Chance(uint64(k), s.hash)) / float64(n), s})
 		}
 	}
 	slices.SortFunc(slots, func(a, b slot) int {
@@ -182,13 +152,13 @@
 // candidate is the i-th place on a key's chain. Crossing zones costs at every message, so a key walks the
 // history of its node's zone first, which that zone's nodes share, and after that the whole fleet's.
 func (b *Balancer) candidate(r *request, i int) *server {
-	if len(b.home.owner) == 0 || chance(r.client, 2) >= b.homeShare {
-		return b.table.lookup(remix(r.key, i))
+	if len(b.home.owner) == 0 || keys.Chance(r.client, 2) >= b.homeShare {
+		return b.table.lookup(keys.Remix(r.key, i))
 	}
 	if i < homeTries {
-		return b.home.lookup(remix(r.key, i))
+		return b.home.lookup(keys.Remix(r.key, i))
 	}
-	return b.table.lookup(remix(r.key, i-homeTries))
+	return b.table.lookup(keys.Remix(r.key, i-homeTries))
 }
 
 // holder guesses which server holds a connection whose packets now come by this node: the one where it stood
@@ -268,48 +238,6 @@
 // atHome tells whether a server is one of the home table's.
 func (b *Balancer) atHome(s *server) bool { return len(b.home.owner) > 0 && s.zone == b.set.Zone }
 
-// crowd counts how often this node meets each group, to tell a group's share of all traffic.
-type crowd struct {
-	count   map[uint64]float64
-	total   float64
-	squares float64 // sum of the squared counts
-}
-
-// maxCrowd bounds the counts' memory: past it all are halved, so that shares also follow the traffic.
-const maxCrowd = 4096
-
-func (c *crowd) meet(group uint64) {
-	n := c.count[group]
-	c.count[group] = n + 1
-	c.squares += 2*n + 1
-	if c.total++; c.total < maxCrowd {
-		return
-	}
-	c.total, c.squares = 0, 0
-	for g, n := range c.count {
-		if n < 2 {
-			delete(c.count, g)
-			continue
-		}
-		c.count[g] = math.Floor(n / 2)
-	}
-	for _, n := range c.count {
-		c.total += n // whole numbers add up exactly in any order; ever longer fractions would not
-		c.squares += n * n
-	}
-}
-
-// share estimates a group's part of all traffic. A node that has seen little leans on what a request's group
-// has on average, as the chance that two requests are of one group tells, and that on a server's part.
-func (c *crowd) share(group uint64, servers float64) float64 {
-	// As many requests as it takes for a group's own count to outweigh the mean. With fewer, nodes that have
-	// met a dozen requests each split some group or other by chance, each another one, and strew it.
-	const lean, leanPairs = 32.0, 32.0 * 31 / 2
-	pairs := c.total * (c.total - 1) / 2
-	mean := ((c.squares-c.total)/2 + leanPairs/servers) / (pairs + leanPairs)
-	return (c.count[group] + lean*mean) / (c.total + lean)
-}
-
 // part gives the client's part of a group that is too heavy for one server: the group is split into as many
 // parts as servers' worths of traffic it has, and each part walks with an id of its own. The client's part
 // follows the paper's walk too, so that it rarely changes while the number of parts grows.
@@ -319,7 +247,7 @@
 		owners = len(b.table.owner)
 	}
 	servers := max(float64(owners)/slotsPerServer, 1)
-	worth := min(b.crowd.share(group, servers), 1) * servers
+	worth := min(b.crowd.Share(group, servers), 1) * servers
 	if worth < 2 {
 		return group
 	}
@@ -329,7 +257,7 @@
 	for n := 1; float64(n) <= worth; n *= 2 {
 		history = append(history, n)
 	}
-	return remix(scramble(group), walk(client, history))
+	return keys.Remix(keys.Scramble(group), walk(client, history))
 }
 
 // epoch returns the number of the grid cell that now lies in.
@@ -383,7 +311,7 @@
 
 // eachZone hands each zone's table its ready servers; there are none where the zone is no choice.
 func (b *Balancer) eachZone(ready []*server, f func(*table, []*server)) {
-	if b.set.Zone == "" {
+	if b.set.Zone == "" || b.set.Reports { // reports tell where there is room, in each zone alike
 		return
 	}
 	near := map[string][]*server{}
@@ -410,6 +338,7 @@
 	for id, s := range b.servers {
 		if s.phase == Gone && len(s.held) == 0 {
 			delete(b.servers, id)
+			b.told.Forget(id)
 		}
 	}
 }
--- a/plastic_test.go
+++ b/plastic_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 
+	"example.org/micafront/keys"
+
 	. "example.org/micafront/internal/testkit"
 )
 
@@ -29,11 +31,11 @@
 }
 
 func TestWalkEvenAndStable(t *testing.T) {
-	const keys = 60000
+	const count = 60000
 	place := func(counts []int) []int {
-		at := make([]int, keys)
+		at := make([]int, count)
 		for k := range at {
-			at[k] = walk(scramble(uint64(k)), counts)
+			at[k] = walk(keys.Scramble(uint64(k)), counts)
 		}
 		return at
 	}
@@ -44,7 +46,7 @@
 			per[s]++
 		}
 		for s, c := range per {
-			if f := float64(c) * float64(n) / keys; f < 0.85 || f > 1.15 {
+			if f := float64(c) * float64(n) / count; f < 0.85 || f > 1.15 {
 				t.Errorf("%s: ordinal %d has %.2f of its share", name, s, f)
 			}
 		}
@@ -56,7 +58,7 @@
 				n++
 			}
 		}
-		return float64(n) / keys
+		return float64(n) / count
 	}
 	base, grown, shrunk := place([]int{50}), place([]int{50, 60}), place([]int{50, 40})
 	even("base", base, 50)
@@ -83,14 +85,14 @@
 	}
 	final := counts[len(counts)-1]
 	stayed := 0
-	const keys = 40000
-	for k := range keys {
-		if walk(scramble(uint64(k)), counts) < 352 {
+	const count = 40000
+	for k := range count {
+		if walk(keys.Scramble(uint64(k)), counts) < 352 {
 			stayed++
 		}
 	}
 	want := 352.0 / float64(final)
-	if got := float64(stayed) / keys; got < want*0.95 || got > want*1.05 {
+	if got := float64(stayed) / count; got < want*0.95 || got > want*1.05 {
 		t.Errorf("old ordinals keep %.3f of the keys after growth to %d, want %.3f", got, final, want)
 	}
 	if c := compact(counts, 352); len(c) != 1 {
@@ -108,7 +110,7 @@
 	b := start(t, testSettings(), m, 1)
 	big, all := 0, 40000
 	for k := range all {
-		if s := b.table.lookup(scramble(uint64(k))); s.size == 3 {
+		if s := b.table.lookup(keys.Scramble(uint64(k))); s.size == 3 {
 			big++
 		}
 	}
@@ -131,7 +133,7 @@
 	a.Handle(4100*ms, Timer{})
 	b.Handle(4300*ms, Timer{})
 	for k := range 5000 {
-		x, y := a.table.lookup(scramble(uint64(k))), b.table.lookup(scramble(uint64(k)))
+		x, y := a.table.lookup(keys.Scramble(uint64(k))), b.table.lookup(keys.Scramble(uint64(k)))
 		if x.id != y.id {
 			t.Fatalf("key %d: %s and %s", k, x.id, y.id)
 		}
@@ -153,7 +155,7 @@
 	b.Handle(6*sec, Members{Kind: SavedList, Entries: list})
 	differ := func() (n int) {
 		for k := range 4000 {
-			if a.table.lookup(scramble(uint64(k))).id != b.table.lookup(scramble(uint64(k))).id {
+			if a.table.lookup(keys.Scramble(uint64(k))).id != b.table.lookup(keys.Scramble(uint64(k))).id {
 				n++
 			}
 		}
@@ -220,28 +222,6 @@
 	}
 }
 
-// However often the counts are halved they stay whole numbers, whose sums do not depend on the order of a map.
-func TestCrowdStaysExact(t *testing.T) {
-	c := crowd{count: map[uint64]float64{}}
-	for i := range 40 * maxCrowd {
-		c.meet(scramble(uint64(i)) % 37)
-		if c.total >= maxCrowd {
-			t.Fatalf("total %v is not bounded", c.total)
-		}
-	}
-	total, squares := 0.0, 0.0
-	for g, n := range c.count {
-		if n != float64(int(n)) {
-			t.Fatalf("group %d has count %v", g, n)
-		}
-		total += n
-		squares += n * n
-	}
-	if total != c.total || squares != c.squares {
-		t.Errorf("sums %v, %v; kept %v, %v", total, squares, c.total, c.squares)
-	}
-}
-
 // Crossing zones costs at every message: keys stay in their node's zone, at the same server from all its nodes, while
 // that has its part of the fleet's capacity. A key leaves where its zone has no place, and part of them leave where
 // the zone has lost most of its servers.
@@ -360,7 +340,7 @@
 			b.Handle(2*sec, r)
 		}
 		for g := range 16 {
-			if id := keyID(fmt.Sprint("g", g)); b.part(id, keyID("a client")) != id {
+			if id := keys.ID(fmt.Sprint("g", g)); b.part(id, keys.ID("a client")) != id {
 				split[id]++
 			}
 		}
@@ -380,7 +360,7 @@
 	}
 	parts := map[uint64]bool{}
 	for k := range 100 {
-		parts[b.part(keyID("half"), keyID(fmt.Sprint("k", k)))] = true
+		parts[b.part(keys.ID("half"), keys.ID(fmt.Sprint("k", k)))] = true
 	}
 	Equal(t, "parts of a group that has half the traffic of 12 servers", 4, len(parts))
 }
--- a/settings.go
+++ b/settings.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"example.org/micafront/shares"
 )
 
 // Check tells why settings cannot be used, if so.
@@ -13,10 +15,14 @@
 
 // adoptSettings takes settings that have been checked, and what follows from them alone.
 func (b *Balancer) adoptSettings(set Settings) {
-	b.set, b.shares, b.minMessageAim = set, map[string]*Tenant{}, 0
+	b.set, b.shares, b.minMessageAim = set, map[string]shares.Contract{}, 0
+	connections := 0.0
 	for i := range set.Tenants {
-		b.shares[set.Tenants[i].Name] = &b.set.Tenants[i]
+		connections += set.Tenants[i].Connections
+		t := &set.Tenants[i]
+		b.shares[t.Name] = shares.Contract{Share: t.Share, Connections: t.Connections}
 	}
+	b.told.Settle(set.Nodes, set.Rules.Fall, connections)
 	// Classes that are no longer named stay here, for connections that were open under them.
 	for i := range set.Classes {
 		c := &b.set.Classes[i]
@@ -41,12 +47,15 @@
 		b.lastChange = int64(time.Duration(b.lastChange) * before.Rules.Fall / set.Rules.Fall)
 		b.lastEpoch = b.epoch()
 	}
-	if set.Zone != before.Zone && b.started {
+	if (set.Zone != before.Zone || set.Reports != before.Reports) && b.started {
 		b.home, b.usualPart = &table{}, 0
 		ready := b.ready()
 		b.eachZone(ready, func(t *table, near []*server) { t.follow(near) })
 		b.survey(ready)
 	}
+	if set.Reports && !before.Reports && b.started {
+		b.askReports()
+	}
 	if set.Subscribe && !before.Subscribe && b.started {
 		b.timer(watchToken, 0)
 	}
--- /dev/null
+++ b/shares/shares.go
@@ -0,0 +1,60 @@
+// Package shares decides whose connections go first when a fleet is short: by what a connection is worth for its load,
+// and by its tenant's contract, a share of the fleet. It is the first part of the broker between teams. It decides
+// over figures alone: no I/O, no clock.
+package shares
+
+import "math"
+
+// Contract is a tenant's part of the service.
+type Contract struct {
+	Share       float64 // of all that is held
+	Connections float64 // open ones over all nodes within the share; 0: unknown
+}
+
+// Surplus is the part of a tenant's connections that is beyond its share, where a node holds all connections and the
+// tenant's of them, and there are so many nodes. 
+func (c Contract) Surplus(all, tenants, nodes int) float64 {
+	fair := math.Max(c.Share*float64(all), c.Connections/float64(nodes))
+	return math.Max(1-fair/math.Max(float64(tenants), 1), 0)
+}
+
+// tiny keeps classes alike where none brings anything.
+const tiny = 1e-12
+
+// Rank is what a connection brings for its load, against the best class: in (0,1]. Densities are worth by load, that
+// of a connection beyond its tenant's share lessened to what such work is worth.
+func Rank(density, best float64) float64 { return (density + tiny) / (best + tiny) }
+
+// Part is the part of those of a rank that a gate lets in which is open by so much: the best ones meet the gate as it
+// is, and the others go before them.
+func Part(gate, rank float64) float64 { return math.Pow(gate, 1/rank) }
+
+// Limit is the fleet's load up to which a connection of a rank is let in: trunk reservation, as telephone exchanges
+// keep their last lines for the calls that matter most. What is let in stays for as long as a connection lives, so
+// room that is given to the least today is missing for the best tomorrow.
+func Limit(rank float64) float64 {
+	const most, reserved = 0.9, 0.3
+	return most - reserved*(1-rank)
+}
+
+// Reclaim is the part of what tenants hold beyond their shares that should leave now, so that others come to theirs:
+// none while the fleet has room for the best, all where it has none. Those who leave come back and are refused.
+func Reclaim(load float64) float64 {
+	const from = 0.75
+	return math.Min(math.Max((load-from)/(Limit(1)-from), 0), 1)
+}
+
+// Press moves a gate after a span in seconds in which so much of a node's connections was in trouble. Each next
+// hop's evidence is thin where many nodes share the traffic, and spilling from one jammed next hop to the next jams all
+// of them when the fleet as a whole is short. So a node pools what its connections suffer: while more than a seventh
+// of them is in trouble it lets in ever fewer new ones, else more. A seventh is what uneven groups cause in an ample
+// fleet. Those turned away come back within a second or so, so both go as fast as that.
+func Press(gate, pain, span float64) float64 {
+	const bearable, least = 0.15, 0.1 // so that it is open soon after even a stall of all next hops
+	if pain = math.Min(pain, 1); pain > bearable {
+		gate *= 1 - math.Min(2*(pain-bearable)*math.Min(span, 1), 0.8)
+	} else {
+		gate *= 1 + 4*(bearable-pain)*math.Min(span, 1)
+	}
+	return math.Min(math.Max(gate, least), 1)
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -6,10 +6,13 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+
+	"example.org/micafront/keys"
+	"example.org/micafront/reports"
 )
 
 // SnapshotVersion is the form of a Snapshot. It changes whenever a field comes, goes or changes its meaning.
-const SnapshotVersion = 3
+const SnapshotVersion = 4
 
 // Snapshot is all that a Balancer holds, exactly: one that is restored from it acts the same for ever after. A State is
 // less, for another process that goes on with what it needs.
@@ -54,6 +57,7 @@
 	WatchPending                bool
 	Gate, Pain                  float64
 	PressedAt                   Instant
+	Told                        map[string]reports.Evidence
 }
 
 // SuspicionSnapshot is the failures since the last success.
@@ -105,10 +109,10 @@
 		NextID: b.nextID, Zoned: map[string]TableState{}, FormerAt: b.formerAt, Held: b.held, Weight: b.weight, Capacity: b.capacity,
 		HomeSize:  b.homeSize,
 		HomeShare: b.homeShare, UsualPart: b.usualPart, ZoneCount: b.zoneCount, Crowd: map[uint64]float64{},
-		CrowdTotal: b.crowd.total, CrowdSquare: b.crowd.squares, Started: b.started, ListDirty: b.listDirty, Snapped: b.snapped,
+		CrowdTotal: b.crowd.Total, CrowdSquare: b.crowd.Squares, Started: b.started, ListDirty: b.listDirty, Snapped: b.snapped,
 		StartedAt: b.startedAt, LastEpoch: b.lastEpoch, LastChange: b.lastChange, WatchTries: b.watchTries,
 		WatchPending: b.watchPending, Gate: b.gate, Pain: b.pain,
-		PressedAt: b.pressedAt}
+		PressedAt: b.pressedAt, Told: b.told.Evidence()}
 	s.Settings.Classes, s.Settings.Tenants = slices.Clone(b.set.Classes), slices.Clone(b.set.Tenants)
 	w := snapshotter{s: &s, servers: map[*server]int{}, requests: map[*request]int{}, classes: map[*Class]int{}}
 	for _, name := range slices.Sorted(maps.Keys(b.classes)) {
@@ -144,7 +148,7 @@
 		s.Zones[zone] = SuspicionSnapshot{z.fails, z.retryAt, z.trial}
 	}
 	maps.Copy(s.Tenants, b.tenants)
-	maps.Copy(s.Crowd, b.crowd.count)
+	maps.Copy(s.Crowd, b.crowd.Count)
 	for _, r := range w.order {
 		s.Requests = append(s.Requests, w.request(b, r))
 	}
@@ -292,18 +296,19 @@
 	}
 	maps.Copy(b.usual, s.Usual)
 	maps.Copy(b.tenants, s.Tenants)
-	maps.Copy(b.crowd.count, s.Crowd)
-	b.crowd.total, b.crowd.squares = s.CrowdTotal, s.CrowdSquare
+	maps.Copy(b.crowd.Count, s.Crowd)
+	b.crowd.Total, b.crowd.Squares = s.CrowdTotal, s.CrowdSquare
 	b.now, b.nextID, b.held, b.weight, b.capacity = s.Now, s.NextID, s.Held, s.Weight, s.Capacity
 	b.homeSize, b.homeShare, b.usualPart, b.zoneCount = s.HomeSize, s.HomeShare, s.UsualPart, s.ZoneCount
 	b.started, b.startedAt, b.listDirty, b.snapped = s.Started, s.StartedAt, s.ListDirty, s.Snapped
 	b.lastEpoch, b.lastChange, b.watchTries, b.watchPending = s.LastEpoch, s.LastChange, s.WatchTries, s.WatchPending
 	b.gate, b.pain, b.pressedAt = s.Gate, s.Pain, s.PressedAt
+	b.told.Restore(s.Told)
 	return b, nil
 }
 
 func restoredServer(v *ServerSnapshot) *server {
-	return &server{id: v.ID, hash: keyID(v.ID), phase: v.Phase, size: v.Size, zone: v.Zone, cell: v.Cell,
+	return &server{id: v.ID, hash: keys.ID(v.ID), phase: v.Phase, size: v.Size, zone: v.Zone, cell: v.Cell,
 		suspicion: suspicion{v.Suspicion.Fails, v.Suspicion.RetryAt, v.Suspicion.Trial}, started: v.Started, weight: v.Weight,
 		leaving: v.Leaving, leaveBy: v.LeaveBy, crashed: v.Crashed, brokeAt: v.BrokeAt, delay: v.Delay, delayAt: v.DelayAt, load: v.Load, loadAt: v.LoadAt,
 		tokens: v.Tokens, tokensAt: v.TokensAt}
--- a/snapshot_test.go
+++ b/snapshot_test.go
@@ -103,9 +103,13 @@
 		}
 	case 6:
 		if o, ok := d.pick(d.open, "connection"); ok {
-			if rapid.Bool().Draw(t, "load") {
+			switch rapid.IntRange(0, 2).Draw(t, "note") {
+			case 0:
+				d.tell(Probed{Server: o.Server, Load: Load{ReportLoad: rapid.Float64Range(0, 3).Draw(t, "asked"),
+					ReportHeld: float64(rapid.IntRange(0, 9).Draw(t, "held"))}})
+			case 1:
 				d.tell(LoadNote{ID: o.ID, Server: o.Server, Attempt: o.Attempt, Load: rapid.Float64Range(0, 3).Draw(t, "load")})
-			} else {
+			case 2:
 				d.tell(DelayNote{ID: o.ID, Server: o.Server, Attempt: o.Attempt, Delay: time.Duration(rapid.IntRange(0, 1500).Draw(t, "delay")) * time.Millisecond})
 			}
 		}
@@ -125,6 +129,7 @@
 		set := d.set
 		set.Classes = slices.Clone(d.set.Classes)[:rapid.IntRange(1, 2).Draw(t, "classes")]
 		set.Classes[0].Aim = time.Duration(rapid.IntRange(100, 900).Draw(t, "aim")) * time.Millisecond
+		set.Reports = rapid.Bool().Draw(t, "reports")
 		set.Zone = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "own zone")
 		var first []Action
 		for i, twin := range d.twins {
@@ -143,7 +148,7 @@
 }
 
 func newDriven(t *rapid.T) *driven {
-	set := Settings{Nodes: 2, Zone: "a", Subscribe: true, PassThrough: rapid.Bool().Draw(t, "pass through"),
+	set := Settings{Nodes: 2, Zone: "a", Subscribe: true, PassThrough: rapid.Bool().Draw(t, "pass through"), Reports: rapid.Bool().Draw(t, "reports"),
 		Classes: []Class{{Name: "feed", Aim: time.Second, GiveUp: 3 * time.Second, MessageAim: 200 * time.Millisecond, Worth: 5},
 			{Name: "notes", Aim: 300 * time.Millisecond, GiveUp: time.Second, Worth: 1, Effect: Keyed, Memory: 2 * time.Second, Dedup: ScopeZone}},
 		Tenants: []Tenant{{Name: "", PerSecond: 3, Share: 0.5, Connections: 4}},
--- a/state.go
+++ b/state.go
@@ -6,6 +6,9 @@
 	"maps"
 	"math"
 	"slices"
+
+	"example.org/micafront/groups"
+	"example.org/micafront/keys"
 )
 
 // State is what a successor on the same node must know to decide alike. Its times are the fleet's clock's, which all
@@ -74,7 +77,7 @@
 		Snapped: b.snapped, UsualPart: b.usualPart, Zoned: map[string]TableState{},
 		FormerAt: b.formerAt, Zones: map[string]SuspicionState{},
 		Gate: b.gate, Usual: maps.Clone(b.usual),
-		Groups: maps.Clone(b.crowd.count), Seen: map[uint64]string{}}
+		Groups: maps.Clone(b.crowd.Count), Seen: map[uint64]string{}}
 	index := map[*server]int{}
 	// Owners may be gone from the list, until the next epoch.
 	all := slices.Collect(maps.Values(b.servers))
@@ -161,7 +164,7 @@
 			v.Suspicion.Fails < 0 || !timely(v.Started, v.BrokeAt, v.Delay, v.DelayAt, v.LoadAt, v.TokensAt, v.Suspicion.RetryAt) {
 			return nil, fmt.Errorf("state: server %q makes no sense", v.ID)
 		}
-		servers[i] = &server{id: v.ID, hash: keyID(v.ID), phase: v.Phase, size: v.Size, zone: v.Zone, cell: v.Cell,
+		servers[i] = &server{id: v.ID, hash: keys.ID(v.ID), phase: v.Phase, size: v.Size, zone: v.Zone, cell: v.Cell,
 			suspicion: suspicion{fails: v.Suspicion.Fails, retryAt: v.Suspicion.RetryAt}, started: v.Started,
 			brokeAt: v.BrokeAt, crashed: v.Crashed, delay: v.Delay, delayAt: v.DelayAt, load: math.Max(v.Load, leastLoad), loadAt: v.LoadAt,
 			tokens: v.Tokens, tokensAt: v.TokensAt}
@@ -228,15 +231,16 @@
 	b.gate = min(s.Gate, 1)
 	maps.Copy(b.usual, s.Usual)
 	for group, n := range s.Groups {
-		if n = math.Floor(n); n > 0 && n < 2*maxCrowd {
-			b.crowd.count[group] = n
-			b.crowd.total += n
-			b.crowd.squares += n * n
+		if n = math.Floor(n); n > 0 && n < 2*groups.Max {
+			b.crowd.Count[group] = n
+			b.crowd.Total += n
+			b.crowd.Squares += n * n
 		}
 	}
 	b.pressedAt = b.now
 	b.survey(b.ready())
 	b.Stood(s.Seen)
+	b.askReports()
 	if b.set.Subscribe {
 		b.do(Watch{On: true}) // at once: it is one node's call, and the list is as old as the handing over
 	}
