--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	go test -race ./...
 
 lint:
-	@test -z "$$(gofmt -l *.go internal cmd deploy scripts)" || { gofmt -l *.go internal cmd deploy scripts; exit 1; }
+	@test -z "$$(gofmt -l *.go groups keys reports shares internal cmd deploy scripts)" || { gofmt -l *.go groups keys reports shares internal cmd deploy scripts; exit 1; }
 	go vet ./...
 
 demo: build
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -22,6 +22,7 @@
 	Lists, ListChanges, ListFailures, ListBroken, DelayNotes, LoadNotes, Reloads, ReloadErrors Counter
 	UnknownClass, SameID, Overtalked, Evicted, AbsurdLoads                                     Counter
 	NoRoute, Fallbacks, Transfers, MovesRetired                                                Counter
+	Probes, ProbesFailed                                                                       Counter
 	HandedOn, TakenOver                                                                        Counter
 	OpenNow                                                                                    Counter
 
@@ -84,7 +85,7 @@
 		{"list_failures", c.ListFailures}, {"list_broken", c.ListBroken}, {"delay_notes", c.DelayNotes},
 		{"load_notes", c.LoadNotes}, {"absurd_loads", c.AbsurdLoads}, {"reloads", c.Reloads}, {"reload_errors", c.ReloadErrors},
 		{"no_route", c.NoRoute}, {"fallbacks", c.Fallbacks}, {"transfers", c.Transfers}, {"moves_retired", c.MovesRetired},
-		{"handed_on", c.HandedOn}, {"taken_over", c.TakenOver}, {"open", c.OpenNow},
+		{"probes", c.Probes}, {"probes_failed", c.ProbesFailed}, {"handed_on", c.HandedOn}, {"taken_over", c.TakenOver}, {"open", c.OpenNow},
 	} {
 		fmt.Fprintf(w, "%s=%d ", f.name, f.v)
 	}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -15,6 +15,7 @@
 // What the proxy says itself.
 var (
 	Pong      = []byte("PONG\r\n")
+	Stats     = []byte("STATS\r\n")       // asks a next hop for its load report
 	Drained   = []byte("ERR DRAINED\r\n") // to PING, where new connections should go elsewhere
 	Busy      = []byte("BUSY\r\n")
 	Err       = []byte("ERR\r\n")
@@ -59,6 +60,7 @@
 	ID      string // the client's
 	Key     string
 	Class   string
+	Tenant  string
 	Group   string
 	At      string // a connection that was open at this next hop before
 	Wait    time.Duration
@@ -115,6 +117,8 @@
 		switch string(name) {
 		case "c":
 			o.Class = string(value)
+		case "t":
+			o.Tenant = string(value)
 		case "g":
 			o.Group = string(value)
 		case "at":
@@ -209,3 +213,30 @@
 	}
 	return Other, 0
 }
+
+// alias are the names that reports on sockets have for what the settings call otherwise.
+var alias = map[string]string{"inflight": "outstanding"}
+
+// ParseReport reads a next hop's answer to STATS: PONG or ERR, and its load report if there is one. A report with a
+// figure that is none is no answer: half a report would be taken for a whole one.
+func ParseReport(b []byte) (values map[string]float64, ok bool) {
+	verb, list := word(trim(b))
+	if v := string(verb); v != "PONG" && v != "ERR" {
+		return nil, false
+	}
+	values = map[string]float64{}
+	for len(list) > 0 {
+		var pair []byte
+		pair, list, _ = bytes.Cut(list, []byte(","))
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		x, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || !(x >= 0) || math.IsInf(x, 0) || len(name) == 0 {
+			return nil, false
+		}
+		if other, renamed := alias[string(name)]; renamed {
+			name = []byte(other)
+		}
+		values[string(name)] = x
+	}
+	return values, true
+}
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -65,7 +65,7 @@
 
 func (p *Proxy) request(f *flow) micafront.Request {
 	o := f.opening
-	return micafront.Request{ID: f.id, Class: o.Class, Group: o.Group, Key: o.Key, Deadline: f.deadline,
+	return micafront.Request{ID: f.id, Class: o.Class, Tenant: o.Tenant, Group: o.Group, Key: o.Key, Deadline: f.deadline,
 		Hint: o.Hint, MidFlow: o.MidFlow, Repeat: o.Repeat, Returned: o.Again,
 		Attempts: f.journey.Attempts(p.set.Limits.Attempts)}
 }
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"example.org/micafront"
+)
 
 // Protocol is all that the stages know of the text on the sockets. A second protocol goes through the same
 // stages, decisions and rules by another implementation.
@@ -18,6 +22,11 @@
 	// sense.
 	Read(message []byte) (s Sign, x float64)
 
+	// Ask is a question to a next hop about its load. Report reads its answer: a report's figures by their names, none
+	// where it tells none; ok is false where it is no answer.
+	Ask() []byte
+	Report(message []byte) (load micafront.Load, ok bool)
+
 	Defer(after time.Duration) []byte // a final answer: come again after this
 	Fail() []byte                     // a final answer that promises nothing
 	Malformed() []byte                // the answer to what is not understood
@@ -28,6 +37,7 @@
 // Opening is a client's request: the fields that decisions need, and its bytes.
 type Opening struct {
 	ID, Class, Key, Group  string
+	Tenant                 string
 	Standing               string // the next hop where the connection was open before
 	Wait                   time.Duration
 	HasWait                bool
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -69,6 +69,7 @@
 	entry          registry.Entry
 	samples        []time.Duration
 	late           bool          // told to the module as slow
+	inquiry        *inquiry      // about its load; nil: none is open
 	told           time.Duration // when it last told by itself how long its messages take
 }
 
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -79,8 +79,7 @@
 	case micafront.Log:
 		p.log.Info(a.Text)
 	case micafront.Probe:
-		// The module asks for none today; one that does hears that it never went out.
-		p.tell(q, micafront.Probed{Server: a.Server, Status: micafront.Moot})
+		p.ask(q, a.Server)
 	}
 }
 
--- a/internal/proxy/text.go
+++ b/internal/proxy/text.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"time"
 
+	"example.org/micafront"
 	"example.org/micafront/internal/line"
 )
 
@@ -26,7 +27,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	return len(l), &Opening{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Standing: o.At, Wait: o.Wait,
+	return len(l), &Opening{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Tenant, Standing: o.At, Wait: o.Wait,
 		HasWait: o.HasWait, Hint: o.Hint, Repeat: o.Repeat, Again: o.Again, MidFlow: o.MidFlow,
 		Fields:  &o,
 		Forward: func(wait time.Duration) []byte { return o.AppendFirst(nil, wait) }}, nil
@@ -54,6 +55,13 @@
 	return signs[a], x
 }
 
+func (Text) Ask() []byte { return line.Stats }
+
+func (Text) Report(m []byte) (micafront.Load, bool) {
+	load, ok := line.ParseReport(m)
+	return load, ok
+}
+
 func (Text) Defer(after time.Duration) []byte { return line.AppendBusy(nil, after) }
 func (Text) Fail() []byte                     { return line.Err }
 func (Text) Malformed() []byte                { return line.Malformed }
