--- /dev/null
+++ b/cmd/micafront/reports_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"example.org/micafront/internal/standin"
+)
+
+// reportsOn are the settings of a site whose next hops tell their load when asked, and whose partners have shares.
+const reportsOn = `"Stats":{"How":"probe","Fields":["outstanding","x0"]},"OverShareWorth":0.05,"Customers":[
+	{"Name":"islandlink","Share":0.35},{"Name":"southwave","Share":0.31},{"Name":"bluecoast","Share":0.23},
+	{"Name":"palmnet","Share":0.11}],"FamilyInfo":{"Mode":"pass","TenantQuotaConnections":[8,7,5,3]},`
+
+// asPartner asks for a connection and gives the client and its answer.
+func asPartner(w *world, partner string) (*standin.Peer, string) {
+	w.t.Helper()
+	c := standin.Dial(w.t, w.addr)
+	c.Say(fmt.Sprintf("OPEN %s k%s c=feed,t=%s,d=60000\r\n", standin.NextID(), standin.NextID(), partner))
+	return c, c.Line()
+}
+
+// One partner floods until it is refused; the three others still come to their shares, as what the flood holds beyond
+// its own is moved away. Each request gets one answer, and no two attempts overlap.
+func TestFloodingPartnerLeavesOthersTheirShare(t *testing.T) {
+	judge := standin.NewJudge()
+	var entries []string
+	for i := range 3 {
+		f, err := standin.NewFeed(standin.Entry{ID: fmt.Sprint("box", i)}, judge, 12, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(f.Stop)
+		entries = append(entries, f.Entry.String())
+	}
+	w := start(t, standin.List(1, true, entries...), func(w *world) { w.extra = reportsOn })
+	moved := make(chan bool, 1000)
+	refused := false
+	for held := 0; !refused; held++ {
+		if held > 36 {
+			t.Fatal("the flood was never refused, though it holds all that the boxes can take")
+		}
+		c, answer := asPartner(w, "palmnet")
+		refused = strings.HasPrefix(answer, "BUSY ")
+		if !refused {
+			go func() {
+				said, _ := c.Next()
+				moved <- said == "MOVE"
+			}()
+		}
+	}
+	for _, partner := range []struct {
+		name  string
+		share int
+	}{{"islandlink", 8}, {"southwave", 7}, {"bluecoast", 5}} {
+		for held := 0; held < partner.share; {
+			c, answer := asPartner(w, partner.name)
+			switch {
+			case strings.HasPrefix(answer, "UP "):
+				held++
+				go c.Next() // stays to the end
+			case strings.HasPrefix(answer, "BUSY "):
+				c.Close()
+			default:
+				t.Fatalf("%s was answered %q", partner.name, answer)
+			}
+		}
+	}
+	if !standin.Await(t, moved) {
+		t.Error("a client of the flood was cut off without a word")
+	}
+	if breaches := judge.Breaches(); len(breaches) > 0 {
+		t.Errorf("rules broken: %q", breaches)
+	}
+}
+
+// A next hop that answers no questions, or nonsense, costs nobody an answer: requests are placed without reports.
+func TestNextHopsWithoutReports(t *testing.T) {
+	for _, says := range []string{"NO\r\n", "PONG x0=\r\n", "PONG x0=1e999\r\n", strings.Repeat("x", 5000), ""} {
+		conns := make(chan *standin.Peer, 100)
+		hop := standin.NewHop(t, "s1", conns)
+		w := start(t, standin.List(1, true, entry("s1", hop.Addr, "")), func(w *world) { w.extra = reportsOn })
+		go func() {
+			for p := range conns {
+				go func() {
+					switch line, _ := p.Next(); {
+					case line == "STATS" && says == "":
+						p.Close()
+					case line == "STATS":
+						p.Write([]byte(says))
+					case strings.HasPrefix(line, "OPEN "):
+						p.Write([]byte("UP there\r\n"))
+						p.Next()
+					}
+				}()
+			}
+		}()
+		for range 3 {
+			if _, answer := asPartner(w, "islandlink"); answer != "UP there" {
+				t.Errorf("where STATS is answered %.20q a client hears %q", says, answer)
+			}
+		}
+	}
+}
+
+// A next hop that answers nothing is asked again on a new connection.
+func TestSilentNextHopIsAskedAnew(t *testing.T) {
+	conns := make(chan *standin.Peer, 100)
+	hop := standin.NewHop(t, "s1", conns)
+	start(t, standin.List(1, true, entry("s1", hop.Addr, "")), func(w *world) { w.extra, w.dialTime = reportsOn, 0.1 })
+	first := standin.Await(t, conns)
+	if got := first.Line(); got != "STATS" {
+		t.Fatalf("asked %q", got)
+	}
+	if got := first.Line(); got != "EOF" && got != "RST" {
+		t.Fatalf("a connection without an answer goes on: %q", got)
+	}
+	second := standin.Await(t, conns)
+	for range 2 { // kept for the next question
+		if got := second.Line(); got != "STATS" {
+			t.Fatalf("asked %q", got)
+		}
+		second.Say("PONG inflight=3,x0=0.2\r\n")
+	}
+}
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -10,11 +10,12 @@
 )
 
 func TestField(t *testing.T) {
-	o, err := ParseOpen([]byte("OPEN id key c=feed,x=1,d=20,tier=gold,x=2\r\n"))
+	o, err := ParseOpen([]byte("OPEN id key c=feed,t=acme,x=1,d=20,tier=gold,x=2\r\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, want := range map[string]string{"x": "1", "tier": "gold", "c": "feed", "t": "", "": "", "ier": ""} {
+	Equal(t, "tenant", "acme", o.Tenant)
+	for name, want := range map[string]string{"x": "1", "tier": "gold", "c": "feed", "t": "acme", "": "", "ier": ""} {
 		got, ok := o.Field(name)
 		Equal(t, name, []any{want, want != ""}, []any{got, ok})
 	}
@@ -43,3 +44,40 @@
 		}
 	})
 }
+
+func TestParseReport(t *testing.T) {
+	for _, c := range []struct {
+		said string
+		want map[string]float64
+		ok   bool
+	}{
+		{"PONG inflight=7,x0=0.61\r\n", map[string]float64{"outstanding": 7, "x0": 0.61}, true},
+		{"ERR outstanding=9,x0=1.4\r\n", map[string]float64{"outstanding": 9, "x0": 1.4}, true},
+		{"PONG\r\n", map[string]float64{}, true},
+		{"NO\r\n", nil, false},
+		{"PONG x0=\r\n", nil, false},
+		{"PONG x0=NaN\r\n", nil, false},
+		{"PONG x0=-1\r\n", nil, false},
+		{"PONG x0=1,\r\n", map[string]float64{"x0": 1}, true},
+		{"PONG =1\r\n", nil, false},
+		{"UP r\r\n", nil, false},
+	} {
+		got, ok := ParseReport([]byte(c.said))
+		Equal(t, c.said, []any{c.want, c.ok}, []any{got, ok})
+	}
+}
+
+// Whatever a next hop says, no figure of a report is one that sums cannot hold.
+func FuzzParseReport(f *testing.F) {
+	for _, s := range []string{"PONG x0=1,inflight=2\r\n", "ERR\r\n", "PONG x0=1e400\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		values, ok := ParseReport(text)
+		for name, x := range values {
+			if !ok || name == "" || !(x >= 0) || x > 1e308*1.7 {
+				t.Fatalf("%q gave %q=%v, %v", text, name, x, ok)
+			}
+		}
+	})
+}
--- a/internal/standin/feed.go
+++ b/internal/standin/feed.go
@@ -104,6 +104,14 @@
 	}()
 	in := bufio.NewReader(c)
 	first, err := in.ReadString('\n')
+	for ; err == nil && first == "STATS\r\n"; first, err = in.ReadString('\n') {
+		f.mu.Lock()
+		_, err = fmt.Fprintf(c, "PONG inflight=%d,x0=%g\r\n", f.up, float64(f.up)/float64(f.most))
+		f.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
 	words := strings.Fields(first)
 	if err != nil || len(words) != 4 || words[0] != "OPEN" {
 		return
--- a/internal/standin/scripted.go
+++ b/internal/standin/scripted.go
@@ -75,6 +75,13 @@
 	return ""
 }
 
+// Next reads one line, or tells why there is none; unlike Line it may go on after the test.
+func (p *Peer) Next() (string, error) {
+	p.SetReadDeadline(time.Time{})
+	s, err := p.in.ReadString('\n')
+	return strings.TrimSuffix(s, "\r\n"), err
+}
+
 // Hop is a next hop by script: each connection that comes shows up on a channel, which several may share.
 type Hop struct{ ID, Addr string }
 
