--- a/cmd/micafront/reports_test.go
+++ b/cmd/micafront/reports_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"example.org/micafront/internal/standin"
 )
@@ -50,6 +51,7 @@
 			}()
 		}
 	}
+	end := time.Now().Add(standin.Patience)
 	for _, partner := range []struct {
 		name  string
 		share int
@@ -62,6 +64,10 @@
 				go c.Next() // stays to the end
 			case strings.HasPrefix(answer, "BUSY "):
 				c.Close()
+				if time.Now().After(end) {
+					t.Fatalf("%s holds %d of its %d and is refused for ever", partner.name, held, partner.share)
+				}
+				time.Sleep(20 * time.Millisecond) // a client that comes again, though sooner than it was told
 			default:
 				t.Fatalf("%s was answered %q", partner.name, answer)
 			}
