--- a/balancer.go
+++ b/balancer.go
@@ -324,9 +324,12 @@
 			continue
 		}
 		if b.set.Reports { // a group fills server after server along its chain, and each pays for few groups
-			if load := b.told.Expected(s.id, s.size, b.price(r, s)); load < bound {
-				return s
-			} else if load < least {
+			price := b.price(r, s)
+			load := b.told.Expected(s.id, s.size, price)
+			if load < bound && s.zone == b.set.Zone && price == b.usualLoad(r.class) {
+				return s // near, and it holds the group already
+			}
+			if load < least && least >= bound {
 				spare, least = s, load
 			}
 			continue
--- a/fleet.go
+++ b/fleet.go
@@ -423,7 +423,7 @@
 	return keys.Chance(r.client, 0) < shares.Part(b.gate, rank)
 }
 
-// surplus is the part of its tenant's connections here that is beyond the tenant's share, 0 without a contract.
+// surplus is the part of its tenant's connections here that is beyond its share, 0 without a contract.
 func (b *Balancer) surplus(r *request) float64 {
 	contract, known := b.shares[r.Tenant]
 	if !known {
@@ -535,13 +535,12 @@
 		return
 	}
 	b.told.Hear(s.id, s.size, b.now, load, e.Load[ReportHeld])
-	fleet := b.told.Load(b.now)
-	excess, held, lent := reports.Excess(load, fleet)*s.weight, map[string]float64{}, 0.0
+	held, lent := map[string]float64{}, 0.0
 	for _, r := range s.held {
 		held[r.Group] += r.weight
 		lent += r.weight * b.surplus(r)
 	}
-	excess = max(excess, shares.Reclaim(fleet)*lent)
+	excess := max(reports.Excess(load)*s.weight, shares.Reclaim(b.told.Load(b.now))*lent)
 	if s.phase != Ready || excess == 0 {
 		return
 	}
--- a/reports/reports.go
+++ b/reports/reports.go
@@ -159,12 +159,11 @@
 	return math.Min(math.Max(slack*mean, least), most)
 }
 
-// Excess is the part of what a next hop holds that should leave it, by its load and the fleet's. Above all that it can
-// do work piles up and none of its connections is served in time; what leaves is set up anew elsewhere, which helps
-// only while the others have room, but for a next hop so far above that it serves nobody.
-func Excess(load, fleet float64) float64 {
-	const full, relieved, hopeless, room = 1, 0.85, 1.3, 0.85
-	if load <= full || load <= hopeless && fleet >= room {
+// Excess is the part of what a next hop holds that should leave it, by its load. Above all that it can do work piles up
+// and none of its connections is served in time; loads swing, so it is relieved to three quarters.
+func Excess(load float64) float64 {
+	const full, relieved = 1, 0.75
+	if load <= full {
 		return 0
 	}
 	return (load - relieved) / load
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -12,7 +12,7 @@
 }
 
 // Surplus is the part of a tenant's connections that is beyond its share, where a node holds all connections and the
-// tenant's of them, and there are so many nodes. 
+// tenant's of them, and there are so many nodes.
 func (c Contract) Surplus(all, tenants, nodes int) float64 {
 	fair := math.Max(c.Share*float64(all), c.Connections/float64(nodes))
 	return math.Max(1-fair/math.Max(float64(tenants), 1), 0)
