--- a/reports_test.go
+++ b/reports_test.go
@@ -335,18 +335,18 @@
 	if first["z0"] == 8 {
 		t.Fatal("groups that are nowhere yet all come to the node's zone")
 	}
-	b = reported(t, reportedSettings(), 0.4, 0.4, 0.4, 0.4, 0.4, 0.4)
-	for _, s := range b.servers { // all of them hold this one
-		q := req(100+int(s.hash%1000), 2*sec)
-		r := b.newRequest(q)
-		r.Group, r.attempts, r.open, r.answered = "wide", 1, true, true
-		b.hold(r, s)
-	}
-	for i := range 2 {
-		r := req(200+i, 2*sec)
-		r.Group = "wide"
+	for g := range 10 {
+		b = reported(t, reportedSettings(), 0.4, 0.4, 0.4, 0.4, 0.4, 0.4)
+		wide := fmt.Sprint("g", g)
+		for i := range 6 { // all of them hold this one
+			r := b.newRequest(req(100+i, 2*sec))
+			r.Group, r.attempts, r.open, r.answered = wide, 1, true, true
+			b.hold(r, b.servers[serverID(i)])
+		}
+		r := req(200, 2*sec)
+		r.Group = wide
 		if at := sentTo(b.Handle(2*sec, r)); b.servers[at].zone != "z0" {
-			t.Fatalf("request %d went to %s", i, at)
+			t.Errorf("a client of %s went to %s", wide, at)
 		}
 	}
 }
