Ask for load reports once in Fall while little is asked of the fleet

Tried: asking by a next hop's own load, means over reports, other reservations and prices of groups: none beyond noise.

--- a/fleet.go
+++ b/fleet.go
@@ -518,7 +518,7 @@
 	if !b.set.Reports {
 		return
 	}
-	every := reports.Every(b.now-b.startedAt, b.set.Rules.Fall)
+	every := reports.Every(b.now-b.startedAt, b.set.Rules.Fall, b.told.Load(b.now))
 	for _, s := range b.ready() {
 		if !b.shuns(s) && b.told.Due(s.id, s.size, b.now, every) {
 			b.do(Probe{Server: s.id})
--- a/reports/reports.go
+++ b/reports/reports.go
@@ -38,7 +38,7 @@
 // Settle takes what follows from the settings: how many nodes there are, the time in which overload does harm, and how
 // many connections the contracts promise in all, 0 where they do not say.
 func (f *Fleet) Settle(nodes int, fall time.Duration, connections float64) {
-	f.nodes, f.fresh, f.fills = float64(nodes), fall, connections*1.5 // the rest pays for groups
+	f.nodes, f.fresh, f.fills = float64(nodes), 2*fall, connections*1.5 // the rest pays for groups
 }
 
 func (f *Fleet) hop(id string, size float64) *Evidence {
@@ -141,21 +141,26 @@
 	}
 }
 
-// Every is how often a next hop is asked: three times within fall, the time in which overload does harm; ten times in
-// the first fall after a node's start, when nothing is known and all standing connections arrive at once.
-func Every(sinceStart, fall time.Duration) time.Duration {
-	if sinceStart < fall {
+// Every is how often a next hop is asked: within fall, the time in which overload does harm, while the fleet is asked
+// little; three times as often once it is not; ten times in the first fall after a node's start, when nothing is known
+// and all standing connections arrive at once.
+func Every(sinceStart, fall time.Duration, fleet float64) time.Duration {
+	const little = 0.45
+	switch {
+	case sinceStart < fall:
 		return fall / 10
+	case fleet < little:
+		return fall
 	}
 	return fall / 3
 }
 
 // Bound is the load up to which a key keeps to its first place. Consistent hashing with bounded loads (Mirrokni,
-// Thorup, Zadimoghaddam 2016) bounds each server by a constant times the mean; here that constant is 1.2. Groups are
+// Thorup, Zadimoghaddam 2016) bounds each server by a constant times the mean; here that constant is 1.1. Groups are
 // then held by few next hops, and none is far above the others. Below the least bound nothing waits anywhere, and
 // above the highest one messages begin to come late as loads swing.
 func Bound(mean float64) float64 {
-	const slack, least, most = 1.2, 0.3, 0.65
+	const slack, least, most = 1.1, 0.3, 0.65
 	return math.Min(math.Max(slack*mean, least), most)
 }
 
