--- a/fleet.go
+++ b/fleet.go
@@ -32,7 +32,6 @@
 	held    []*request // attempts and connections of this node at it
 	weight  float64    // and their load
 
-	told    reports.Evidence
 	leaving int     // turns left in which its connections are sent away
 	leaveBy Instant // when that begins even if the gate is not open
 
--- a/reports_test.go
+++ b/reports_test.go
@@ -151,7 +151,6 @@
 	nodes   []*Balancer
 	holds   map[string]map[string]Request // by server
 	at      map[string]string             // a request's server
-	node    map[string]int
 	later   []comeback
 	offered map[string]int
 	worst   float64
@@ -173,7 +172,7 @@
 		switch a := a.(type) {
 		case Send:
 			r := m.nodes[node].requests[a.ID].Request
-			m.holds[a.Server][a.ID], m.at[a.ID], m.node[a.ID] = r, a.Server, node
+			m.holds[a.Server][a.ID], m.at[a.ID] = r, a.Server
 			m.nodes[node].Handle(now, First{ID: a.ID, Server: a.Server})
 		case Move:
 			delete(m.holds[m.at[a.ID]], a.ID)
@@ -214,7 +213,7 @@
 	for _, share := range []float64{0.35, 0.31, 0.23, 0.11} {
 		set.Tenants = append(set.Tenants, Tenant{Name: fmt.Sprint(share), Share: share, Connections: 100 * share})
 	}
-	m := &model{t: t, holds: map[string]map[string]Request{}, at: map[string]string{}, node: map[string]int{},
+	m := &model{t: t, holds: map[string]map[string]Request{}, at: map[string]string{},
 		offered: map[string]int{}}
 	members := fleetOf(12)
 	for i := range 4 {
--- a/settings.go
+++ b/settings.go
@@ -18,8 +18,8 @@
 	b.set, b.shares, b.minMessageAim = set, map[string]shares.Contract{}, 0
 	connections := 0.0
 	for i := range set.Tenants {
-		connections += set.Tenants[i].Connections
 		t := &set.Tenants[i]
+		connections += t.Connections
 		b.shares[t.Name] = shares.Contract{Share: t.Share, Connections: t.Connections}
 	}
 	b.told.Settle(set.Nodes, set.Rules.Fall, connections)
