--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -26,38 +26,54 @@
 	HandedOn, TakenOver                                                                        Counter
 	OpenNow                                                                                    Counter
 
-	classes map[string]*Requests
-	names   []string
+	classes, tenants byName
 }
 
-// Requests are one class's final answers. Each request that was taken ends in at most one of them.
-type Requests struct{ Completed, Rejected, Failed Counter }
+// byName are final answers by name, in the order in which the names came.
+type byName struct {
+	all   map[string]*Requests
+	names []string
+}
 
-// Class gives a class's figures, from 0 on when it is first named. They stay when the settings drop the class.
-func (c *Counters) Class(name string) *Requests {
-	r := c.classes[name]
+func (n *byName) of(name string) *Requests {
+	r := n.all[name]
 	if r == nil {
-		if c.classes == nil {
-			c.classes = map[string]*Requests{}
+		if n.all == nil {
+			n.all = map[string]*Requests{}
 		}
 		r = &Requests{}
-		c.classes[name] = r
-		c.names = append(c.names, name)
+		n.all[name] = r
+		n.names = append(n.names, name)
 	}
 	return r
 }
 
+func (n *byName) figures(b []byte, under string) []byte {
+	for _, name := range n.names {
+		r := n.all[name]
+		b = fmt.Appendf(b, "%[1]s.%[2]s.completed=%[3]d\n%[1]s.%[2]s.rejected=%[4]d\n%[1]s.%[2]s.failed=%[5]d\n", under, name,
+			r.Completed, r.Rejected, r.Failed)
+	}
+	return b
+}
+
+// Requests are one class's final answers. Each request that was taken ends in at most one of them.
+type Requests struct{ Completed, Rejected, Failed Counter }
+
+// Class gives a class's figures, from 0 on when it is first named. They stay when the settings drop the class.
+func (c *Counters) Class(name string) *Requests { return c.classes.of(name) }
+
+// Tenant gives a tenant's figures, as Class gives a class's. Only those with a contract have any: what names clients make
+// up must not fill the memory.
+func (c *Counters) Tenant(name string) *Requests { return c.tenants.of(name) }
+
 // State is what is true at this moment, as the operators read it beside the counts.
 type State struct{ Pending, Members, MembersUnavailable int }
 
 // Figures appends what operators read: a name=value line each.
 func (c *Counters) Figures(b []byte, s State) []byte {
-	for _, name := range c.names {
-		r := c.classes[name]
-		under := "svc.downstream_requests." + name
-		b = fmt.Appendf(b, "%s.completed=%d\n%s.rejected=%d\n%s.failed=%d\n", under, r.Completed, under, r.Rejected,
-			under, r.Failed)
-	}
+	b = c.classes.figures(b, "svc.downstream_requests")
+	b = c.tenants.figures(b, "svc.tenant_requests")
 	return fmt.Appendf(b, "svc.upstream_requests=%d\nsvc.pending=%d\nsvc.members=%d\nsvc.members_unavailable=%d\n"+
 		"svc.config_reloads=%d\nsvc.config_reload_errors=%d\n", c.Attempts, s.Pending, s.Members,
 		s.MembersUnavailable, c.Reloads, c.ReloadErrors)
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -74,7 +74,7 @@
 func (p *Proxy) refuse(f *flow, after time.Duration) {
 	if !f.answered {
 		p.count.Deferred++
-		f.figures.Rejected++
+		f.final(rejected)
 		f.answer(p.protocol.Defer(after))
 	}
 }
@@ -82,7 +82,7 @@
 func (p *Proxy) fail(f *flow) {
 	if !f.answered {
 		p.count.Failed++
-		f.figures.Failed++
+		f.final(failed)
 		f.answer(p.protocol.Fail())
 	}
 }
--- a/internal/proxy/book.go
+++ b/internal/proxy/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"example.org/micafront"
+	"example.org/micafront/internal/counters"
 	"go.uber.org/zap"
 )
 
@@ -46,3 +47,36 @@
 		}
 	}
 }
+
+// nameFigures begins the figures of all classes and tenants in the settings, so that staff see them at 0.
+func (p *Proxy) nameFigures() {
+	for _, class := range p.set.Classes {
+		p.count.Class(class.Name)
+	}
+	for _, tenant := range p.set.Tenants {
+		p.count.Tenant(tenant.Name)
+	}
+}
+
+// partnerOf are the figures of a tenant, if it has a contract.
+func (p *Proxy) partnerOf(tenant string) *counters.Requests {
+	for i := range p.set.Tenants {
+		if p.set.Tenants[i].Name == tenant {
+			return p.count.Tenant(tenant)
+		}
+	}
+	return nil
+}
+
+// final counts a request's final answer, in its class's figures and its tenant's.
+func (f *flow) final(which func(*counters.Requests) *counters.Counter) {
+	for _, r := range []*counters.Requests{f.figures, f.partner} {
+		if r != nil {
+			*which(r)++
+		}
+	}
+}
+
+func completed(r *counters.Requests) *counters.Counter { return &r.Completed }
+func rejected(r *counters.Requests) *counters.Counter  { return &r.Rejected }
+func failed(r *counters.Requests) *counters.Counter    { return &r.Failed }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -87,6 +87,7 @@
 	holding  holding
 	journey  routing.Journey
 	figures  *counters.Requests // of the class under which it came
+	partner  *counters.Requests // of its tenant; nil: it has no contract
 	clientID string
 	stranger *list.Element // in strangers.waiting, until its first message is understood
 	pings    int
@@ -139,9 +140,7 @@
 			return nil, err
 		}
 	}
-	for _, class := range c.Settings.Classes {
-		p.count.Class(class.Name)
-	}
+	p.nameFigures()
 	p.begin(c, will)
 	p.sweep()
 	p.descend(link, will)
@@ -220,8 +219,8 @@
 		p.limitMemory()
 		for _, class := range p.set.Classes {
 			delete(p.dropped, class.Name)
-			p.count.Class(class.Name)
 		}
+		p.nameFigures()
 		if !maps.Equal(c.Routes.Set.Listeners, p.table.Set.Listeners) {
 			p.say("further listeners change at a restart or an upgrade")
 		}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -22,7 +22,7 @@
 	p.loop.Cancel(a.limit)
 	p.count.Up++
 	p.count.Served++
-	f.figures.Completed++
+	f.final(completed)
 	f.place = len(p.open)
 	p.open = append(p.open, f)
 	f.answered = true
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -130,7 +130,7 @@
 			a.f.answered = true
 			a.f.hold(holdsNothing)
 			p.count.Served++
-			a.f.figures.Completed++
+			a.f.final(completed)
 			a.f.endClient(m)
 			a.end(micafront.OK)
 		case SignMove:
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -151,7 +151,7 @@
 // overtalked ends a request whose client did not wait for its answer.
 func (f *flow) overtalked() {
 	f.p.count.Overtalked++
-	f.figures.Failed++
+	f.final(failed)
 	f.answer(f.p.protocol.Malformed())
 	f.giveUp()
 }
@@ -176,7 +176,7 @@
 		p.lastID++
 		f.id = strconv.FormatUint(p.lastID, 36)
 		f.opening, f.class, f.clientID = o, o.Class, o.ID
-		f.figures = p.count.Class(o.Class)
+		f.figures, f.partner = p.count.Class(o.Class), p.partnerOf(o.Tenant)
 		p.flows[f.id], p.ids[o.ID] = f, f
 		if o.Standing != "" {
 			p.count.Standing++
