--- /dev/null
+++ b/internal/agreement/agreement.go
@@ -0,0 +1,103 @@
+// Package agreement decides which version of the rules is in force in a fleet of proxies, and when. It is pure: no I/O,
+// no clock, no chance; time is passed in, and only durations on one machine's own clock are ever compared.
+//
+// Three parties decide. The Book is what all keepers hold alike: it is changed by commands that consensus has put in one
+// order, and by nothing else. The Warden is a leading keeper's own view of who has been heard when; it grants leases
+// and says which commands are due. The Follower is a proxy's part. docs/design/fleet-agreement.md has the argument.
+package agreement
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Terms are the times that a fleet agrees on; part of every version, in the settings' "fleet" record.
+type Terms struct {
+	// Within is the longest that two proxies may act on contradicting versions ("agree within"); 2 s by default.
+	Within time.Duration
+	// Know is how long a silent proxy holds up a version that it has not prepared; 10 s by default, never under Within.
+	// A proxy that has heard nothing for so long can no longer know which versions are in force.
+	Know time.Duration
+	// OnSilence says what a proxy does then.
+	OnSilence Silence
+	// Drift bounds how far a machine's clock may run fast or slow, in parts per million; 1,000 by default.
+	Drift int64
+}
+
+// Silence is what a proxy does that can no longer know which versions are in force.
+type Silence string
+
+const (
+	Hold  Silence = "hold"  // takes nothing new until it has heard: the bound is kept
+	Serve Silence = "serve" // goes on by the version that it has; told and counted
+)
+
+// Lease is how long a grant lets a proxy act on a version in full, on its own clock, from when it asked. Within holds
+// one lease at the slowest clock and the time for one answer, so it is shorter than Within by the drift of both sides.
+func (t Terms) Lease() time.Duration { return t.Within - t.Within*time.Duration(4*t.Drift)/1_000_000 }
+
+// Knows is how long a grant lets a proxy count on its knowledge, on its own clock, from when it asked.
+func (t Terms) Knows() time.Duration { return t.Know - t.Know*time.Duration(4*t.Drift)/1_000_000 }
+
+// Version is a rule book: numbered, content-addressed, complete. It is never changed.
+type Version struct {
+	Number     uint64 `json:"number"` // from 1 on, without gaps among those that were in force
+	Digest     string `json:"digest"` // of Body, by Body.Digest
+	RollbackOf uint64 `json:"rollback_of,omitempty"`
+	By         string `json:"by,omitempty"`  // who proposed it, in the operator's words
+	Why        string `json:"why,omitempty"` // what for
+	Body       Body   `json:"body"`
+}
+
+// Body is what a version holds. Two bodies of one digest decide alike.
+type Body struct {
+	Settings  json.RawMessage `json:"settings"`          // as in the proxy's configuration
+	Routing   json.RawMessage `json:"routing,omitempty"` // a routing.Set
+	Catalog   json.RawMessage `json:"catalog,omitempty"` // a catalog's state
+	ListFloor uint64          `json:"list_floor"`        // lists before this version of the list are not in its history
+	Fleet     Terms           `json:"fleet"`
+}
+
+// Room is what a node can hold, in bytes; told with each renewal. 0 limit: none is set.
+type Room struct {
+	Limit uint64 `json:"limit"`
+	Held  uint64 `json:"held"` // live now
+}
+
+// Renewal is what a proxy tells when it asks for a lease.
+type Renewal struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"` // of the process; a later process of a node has a higher one
+	Seq         uint64 `json:"seq"`         // of this question, so that an answer is told from an earlier one's
+	InForce     uint64 `json:"in_force"`    // the version that it acts on; 0: none yet
+	Prepared    uint64 `json:"prepared"`    // the next one that it can switch to; 0: none
+	// Refusal is why it cannot prepare the proposed version Refused; nil: it can, or has not tried.
+	Refused uint64   `json:"refused,omitempty"`
+	Refusal *Refusal `json:"refusal,omitempty"`
+	Room    Room     `json:"room"`
+	Leaving bool     `json:"leaving,omitempty"` // it stops, takes nothing new, and need not be waited for
+}
+
+// Refusal is why a node cannot hold a version.
+type Refusal struct {
+	Kind     string   `json:"kind"` // of the error, as in remedy.Kind
+	Cause    string   `json:"cause"`
+	Estimate uint64   `json:"estimate,omitempty"` // bytes at the peak of the switch
+	Limit    uint64   `json:"limit,omitempty"`
+	Heaviest []string `json:"heaviest,omitempty"` // the routes that weigh most
+}
+
+// Grant answers a renewal. The leases that it gives count from when the question was sent, on the asker's clock.
+type Grant struct {
+	Node           string `json:"node"`
+	Incarnation    uint64 `json:"incarnation"`
+	Seq            uint64 `json:"seq"`
+	Term           uint64 `json:"term"`   // of the leader that gave it
+	Active         uint64 `json:"active"` // the version in force; the lease is for this one
+	Digest         string `json:"digest"`
+	Proposed       uint64 `json:"proposed,omitempty"` // to prepare; 0: none
+	ProposedDigest string `json:"proposed_digest,omitempty"`
+	// Stranded means that the version in force was forced past this node, which could not prepare it.
+	Stranded bool  `json:"stranded,omitempty"`
+	Terms    Terms `json:"terms"` // of the version in force
+}
--- /dev/null
+++ b/internal/agreement/offers.go
@@ -0,0 +1,203 @@
+package agreement
+
+import "time"
+
+// What each party offers. The types Book, Warden and Follower implement these; the proxy, the keeper's process and
+// the in-memory fleet are built against the interfaces.
+
+// Keeping is what the Book offers: the replicated state of the keepers. Apply is called with the committed commands in
+// their one order, on every keeper; the same commands give the same state and the same answers to the byte.
+type Keeping interface {
+	Apply(index uint64, c Command) Answer
+	Active() (Version, bool)   // the version in force; false before the first one
+	Proposed() (Version, bool) // waits to become active
+	Version(number uint64) (Version, bool)
+	Members() []Member // by node
+	History() []Record // of versions: proposed, active, refused, withdrawn; the eldest first, bounded
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// Command is a change of the Book. Exactly one member is set.
+type Command struct {
+	Propose  *Propose  `json:"propose,omitempty"`
+	Activate *Activate `json:"activate,omitempty"`
+	Withdraw *Withdraw `json:"withdraw,omitempty"`
+	Join     *Join     `json:"join,omitempty"`
+	Part     *Part     `json:"part,omitempty"`
+}
+
+// Propose puts a version up. ID makes it idempotent: a repeat of a proposal gets the first one's answer. Base is the
+// version that the operator saw in force; 0: any. It is refused where Base is not in force, or while another one waits.
+// RollbackOf names a former version whose body is taken; Body is then empty. The first version becomes active at once.
+type Propose struct {
+	ID         string `json:"id"`
+	Base       uint64 `json:"base,omitempty"`
+	RollbackOf uint64 `json:"rollback_of,omitempty"`
+	By         string `json:"by,omitempty"`
+	Why        string `json:"why,omitempty"`
+	Body       *Body  `json:"body,omitempty"`
+	// Force lets the version become active past nodes that refused it. They are stranded until they can load it.
+	Force bool `json:"force,omitempty"`
+}
+
+// Activate makes the proposed version active; Stranded are the nodes that it was forced past.
+type Activate struct {
+	Number   uint64   `json:"number"`
+	Stranded []string `json:"stranded,omitempty"`
+}
+
+// Withdraw takes a proposal back: the operator's word, or nodes' refusals.
+type Withdraw struct {
+	Number   uint64             `json:"number"`
+	Why      string             `json:"why"`
+	Refusals map[string]Refusal `json:"refusals,omitempty"` // by node
+}
+
+// Join makes a node known before its first grant, so that no version becomes active behind its back. Part forgets it.
+type Join struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Part is described at Join.
+type Part struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Answer is what a command came to. Err is a *remedy.Error, nil where it was taken.
+type Answer struct {
+	Number uint64 `json:"number,omitempty"` // of the version that it concerns
+	Err    error  `json:"-"`
+}
+
+// Member is a proxy that the keepers know.
+type Member struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Record is a step in a version's life.
+type Record struct {
+	Index  uint64 `json:"index"` // of the command
+	Number uint64 `json:"number"`
+	Step   string `json:"step"` // proposed, active, withdrawn
+	Why    string `json:"why,omitempty"`
+}
+
+// Wardship is what the Warden offers: a leading keeper's soft state. Times are the keeper's own monotonic clock.
+type Wardship interface {
+	// Lead is told when this keeper begins to lead, at which time and in which term; nothing heard before counts.
+	Lead(now time.Duration, term uint64)
+	// Hear takes a renewal. Due are commands that must be committed before it may be granted, such as a Join.
+	Hear(now time.Duration, r Renewal) (due []Command)
+	// Grant answers a renewal that was heard, once a quorum has confirmed after the question came that this keeper
+	// leads, and all that was committed until then is applied. Not ok: the node has yet to join, or a later
+	// incarnation has; it then gets no answer.
+	Grant(now time.Duration, r Renewal) (g Grant, ok bool)
+	// Due are the commands that time or what was heard makes due: to activate the proposal, to withdraw it, to part
+	// with members that have been silent for long. It may be asked at any time and repeats itself until they apply.
+	Due(now time.Duration) []Command
+	// Status says who holds up the proposal, and who is in which state.
+	Status(now time.Duration) []NodeStatus
+}
+
+// NodeStatus is how a leading keeper sees a node.
+type NodeStatus struct {
+	Renewal
+	Heard   time.Duration `json:"heard"`    // ago
+	Silent  bool          `json:"silent"`   // for Know, or not heard since this keeper began to lead
+	HoldsUp bool          `json:"holds_up"` // the proposal waits for it
+}
+
+// Following is what the Follower offers: a proxy's part. Times are the proxy's own monotonic clock, read once a turn.
+// It asks for one thing at a time and never twice for what is under way.
+type Following interface {
+	Handle(now time.Duration, e Event) []Action
+	// May says whether a connection may be placed now. contested tells whether the version in force and the one that
+	// this proxy knows to come decide differently on it; it is asked only where the answer depends on it. A proxy asks
+	// again when the first line is about to be written, since time has passed by then.
+	May(now time.Duration, contested func() bool) Permit
+	InForce() (number uint64, ok bool)
+	State(now time.Duration) FollowerState
+}
+
+// Permit is whether a connection may be placed, and when to come again where it may not.
+type Permit struct {
+	OK    bool
+	After time.Duration // where not OK: when to come again
+	Why   State
+}
+
+// State is in which state a follower is.
+type State string
+
+const (
+	Starting State = "starting" // has no version yet
+	Leased   State = "leased"   // acts in full
+	Lapsed   State = "lapsed"   // its lease is over; what the known next version contests is refused
+	Blind    State = "blind"    // cannot know what is in force; Terms.OnSilence says what it does
+	Stranded State = "stranded" // the version in force was forced past it
+)
+
+// FollowerState is told in telemetry.
+type FollowerState struct {
+	State             State
+	InForce, Prepared uint64
+	LeaseLeft         time.Duration // below 0: since when it is over
+	Switches, Lapses  uint64
+	BlindServed       uint64 // connections placed while blind, under Serve
+}
+
+// Event is what a follower is told; one of the types below.
+type Event any
+
+type (
+	// Tick is told at the time that WakeAt asked for, or earlier.
+	Tick struct{}
+	// Granted is a keeper's answer to a renewal. Sent is when the question left, on this clock.
+	Granted struct {
+		Grant Grant
+		Sent  time.Duration
+	}
+	// AskFailed is a renewal that got no answer in its time.
+	AskFailed struct{ Seq uint64 }
+	// PrepareDone is the outcome of a Prepare; Refusal nil: the version can be switched to.
+	PrepareDone struct {
+		Number  uint64
+		Refusal *Refusal
+	}
+	// RoomIs is what the node can hold now.
+	RoomIs struct{ Room Room }
+	// Leave is told when the process begins to stop.
+	Leave struct{}
+)
+
+// Action is what a follower wants; one of the types below.
+type Action any
+
+type (
+	// Ask sends a renewal to a keeper. Try counts the keepers that failed in a row: the caller goes on to the next one.
+	Ask struct {
+		Renewal Renewal
+		Try     int
+		Within  time.Duration // how long to wait for the answer
+	}
+	// Prepare fetches and prepares a version without acting on it: parse, check, memory, compile.
+	Prepare struct {
+		Number uint64
+		Digest string
+	}
+	// Switch makes a prepared version the one in force, in this turn.
+	Switch struct{ Number uint64 }
+	// Discard drops a prepared version that was withdrawn.
+	Discard struct{ Number uint64 }
+	// WakeAt asks for a Tick at that time.
+	WakeAt struct{ At time.Duration }
+	// Told is a change of state, for the log.
+	Told struct {
+		State State
+		Text  string
+	}
+)
