--- a/internal/registry/http.go
+++ b/internal/httpin/httpin.go
@@ -1,4 +1,6 @@
-package registry
+// Package httpin reads HTTP/1.1 answers as they come on the event loop, in any pieces. net/http would bring 4 MiB of resident
+// memory into the proxy and goroutines that its loop does not need.
+package httpin
 
 import (
 	"bytes"
@@ -8,18 +10,19 @@
 	"strings"
 )
 
-// maxHead and maxBody bound what discovery may make us hold.
+// maxHead and MaxBody bound what an answer may make us hold, in bytes.
 const (
 	maxHead = 16 << 10
-	maxBody = 8 << 20
+	MaxBody = 8 << 20
 )
 
-var errTooLong = errors.New("discovery's answer is too long")
+// ErrTooLong means that an answer is over these bounds.
+var ErrTooLong = errors.New("the answer is too long")
 
-// parser reads one HTTP/1.1 response as it comes, in any pieces, and hands on the body's bytes.
-type parser struct {
+// Parser reads one HTTP/1.1 response as it comes, in any pieces, and hands on the body's bytes.
+type Parser struct {
 	buf     []byte
-	state   func(*parser) (more bool, err error)
+	state   func(*Parser) (more bool, err error)
 	status  int
 	left    int64 // of the body or chunk; -1: until the connection ends
 	chunked bool
@@ -27,9 +30,20 @@
 	body    func([]byte) error
 }
 
-func newParser(body func([]byte) error) *parser { return &parser{state: (*parser).head, body: body} }
+// New makes one that hands the body's bytes to a function; its error ends the reading.
+func New(body func([]byte) error) *Parser { return &Parser{state: (*Parser).head, body: body} }
 
-func (p *parser) feed(b []byte) error {
+// Status is the answer's, 0 until it has come.
+func (p *Parser) Status() int { return p.status }
+
+// Done reports whether the whole body has come.
+func (p *Parser) Done() bool { return p.done }
+
+// UntilEnd reports whether the body ends with the connection.
+func (p *Parser) UntilEnd() bool { return p.left < 0 && !p.chunked }
+
+// Feed takes the next bytes of the connection; an error is final.
+func (p *Parser) Feed(b []byte) error {
 	p.buf = append(p.buf, b...)
 	for !p.done {
 		more, err := p.state(p)
@@ -46,11 +60,11 @@
 	return nil
 }
 
-func (p *parser) cutLine() (string, bool, error) {
+func (p *Parser) cutLine() (string, bool, error) {
 	i := bytes.IndexByte(p.buf, '\n')
 	if i < 0 {
 		if len(p.buf) > maxHead {
-			return "", false, errTooLong
+			return "", false, ErrTooLong
 		}
 		return "", false, nil
 	}
@@ -59,11 +73,11 @@
 	return line, true, nil
 }
 
-func (p *parser) head() (bool, error) {
+func (p *Parser) head() (bool, error) {
 	end := bytes.Index(p.buf, []byte("\r\n\r\n"))
 	if end < 0 {
 		if len(p.buf) > maxHead {
-			return false, errTooLong
+			return false, ErrTooLong
 		}
 		return false, nil
 	}
@@ -75,7 +89,7 @@
 		status, err = strconv.Atoi(f[1])
 	}
 	if err != nil || status < 100 || status > 999 {
-		return false, fmt.Errorf("discovery's status line %q", lines[0])
+		return false, fmt.Errorf("status line %q", lines[0])
 	}
 	if status < 200 {
 		return true, nil // an interim answer; the real one follows
@@ -84,26 +98,26 @@
 	for _, h := range lines[1:] {
 		name, value, ok := strings.Cut(h, ":")
 		if !ok {
-			return false, fmt.Errorf("discovery's header %q", h)
+			return false, fmt.Errorf("header %q", h)
 		}
 		value = strings.TrimSpace(value)
 		switch strings.ToLower(name) {
 		case "transfer-encoding":
 			p.chunked = strings.EqualFold(value, "chunked")
 		case "content-length":
-			if p.left, err = strconv.ParseInt(value, 10, 64); err != nil || p.left < 0 || p.left > maxBody {
-				return false, fmt.Errorf("discovery's content-length %q", value)
+			if p.left, err = strconv.ParseInt(value, 10, 64); err != nil || p.left < 0 || p.left > MaxBody {
+				return false, fmt.Errorf("content-length %q", value)
 			}
 		}
 	}
-	p.state = (*parser).plain
+	p.state = (*Parser).plain
 	if p.chunked {
-		p.state = (*parser).chunkSize
+		p.state = (*Parser).chunkSize
 	}
 	return true, nil
 }
 
-func (p *parser) plain() (bool, error) {
+func (p *Parser) plain() (bool, error) {
 	b := p.buf
 	if p.left >= 0 && int64(len(b)) >= p.left {
 		b, p.done = b[:p.left], true
@@ -118,24 +132,24 @@
 	return false, p.body(b)
 }
 
-func (p *parser) chunkSize() (bool, error) {
+func (p *Parser) chunkSize() (bool, error) {
 	line, ok, err := p.cutLine()
 	if !ok {
 		return false, err
 	}
 	size, _, _ := strings.Cut(line, ";")
 	if p.left, err = strconv.ParseInt(strings.TrimSpace(size), 16, 64); err != nil || p.left < 0 ||
-		p.left > maxBody {
-		return false, fmt.Errorf("discovery's chunk size %q", line)
+		p.left > MaxBody {
+		return false, fmt.Errorf("chunk size %q", line)
 	}
-	p.state = (*parser).chunk
+	p.state = (*Parser).chunk
 	if p.left == 0 {
-		p.state = (*parser).trailer
+		p.state = (*Parser).trailer
 	}
 	return true, nil
 }
 
-func (p *parser) chunk() (bool, error) {
+func (p *Parser) chunk() (bool, error) {
 	if n := min(int64(len(p.buf)), p.left); n > 0 {
 		b := p.buf[:n]
 		p.buf, p.left = p.buf[n:], p.left-n
@@ -147,14 +161,14 @@
 		return false, nil
 	}
 	if p.buf[0] != '\r' || p.buf[1] != '\n' {
-		return false, errors.New("discovery's chunk does not end where it should")
+		return false, errors.New("a chunk does not end where it should")
 	}
 	p.buf = p.buf[2:]
-	p.state = (*parser).chunkSize
+	p.state = (*Parser).chunkSize
 	return true, nil
 }
 
-func (p *parser) trailer() (bool, error) {
+func (p *Parser) trailer() (bool, error) {
 	line, ok, err := p.cutLine()
 	p.done = ok && line == ""
 	return ok && !p.done, err
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -11,6 +11,7 @@
 
 	"example.org/micafront"
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/httpin"
 )
 
 // An empty line comes every 2 s on a quiet watch, and what discovery has to tell counts as told after 6 s
@@ -101,7 +102,7 @@
 	c      *Client
 	count  int // of objects that came whole
 	conn   *evloop.Conn
-	parser *parser
+	parser *httpin.Parser
 	line   []byte
 	watch  bool
 	spoken bool // brought a line
@@ -112,7 +113,7 @@
 
 func (c *Client) call(path string, watch bool) *call {
 	k := &call{c: c, watch: watch, path: path}
-	k.parser = newParser(k.body)
+	k.parser = httpin.New(k.body)
 	k.limit = c.Loop.After(callTime, func() { k.fail(errors.New("no answer in time")) })
 	conn, err := c.Loop.Dial(c.Addr, k)
 	if err != nil {
@@ -159,13 +160,13 @@
 }
 
 func (k *call) Data(b []byte) {
-	if err := k.parser.feed(b); err != nil {
+	if err := k.parser.Feed(b); err != nil {
 		k.fail(err)
 		return
 	}
-	if k.parser.status != 0 && k.parser.status != 200 {
-		k.fail(fmt.Errorf("status %d", k.parser.status))
-	} else if k.parser.done {
+	if k.parser.Status() != 0 && k.parser.Status() != 200 {
+		k.fail(fmt.Errorf("status %d", k.parser.Status()))
+	} else if k.parser.Done() {
 		k.Ended()
 	}
 }
@@ -174,7 +175,7 @@
 	if k.over {
 		return
 	}
-	if !k.watch && k.parser.status == 200 && (k.parser.done || k.parser.left < 0 && !k.parser.chunked) {
+	if !k.watch && k.parser.Status() == 200 && (k.parser.Done() || k.parser.UntilEnd()) {
 		l, err := ParseList(k.line)
 		if err == nil {
 			err = k.c.sane(l, true)
@@ -199,12 +200,12 @@
 
 // body takes the answer's bytes. A watch brings an object a line, a fetch one object in all.
 func (k *call) body(b []byte) error {
-	if k.over || k.parser.status != 200 {
+	if k.over || k.parser.Status() != 200 {
 		return nil
 	}
 	k.line = append(k.line, b...)
-	if len(k.line) > maxBody {
-		return errTooLong
+	if len(k.line) > httpin.MaxBody {
+		return httpin.ErrTooLong
 	}
 	if !k.watch {
 		return nil
