--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -11,7 +11,8 @@
 	"time"
 )
 
-// Terms are the times that a fleet agrees on; part of every version, in the settings' "fleet" record.
+// Terms are the times that a fleet agrees on; part of every version, in the settings' "fleet" record. JSON has within_us
+// and know_us in microseconds, on_silence and drift_ppm.
 type Terms struct {
 	// Within is the longest that two proxies may act on contradicting versions ("agree within"); 2 s by default.
 	Within time.Duration
@@ -32,8 +33,8 @@
 	Serve Silence = "serve" // goes on by the version that it has; told and counted
 )
 
-// Lease is how long a grant lets a proxy act on a version in full, on its own clock, from when it asked. Within holds
-// one lease at the slowest clock and the time for one answer, so it is shorter than Within by the drift of both sides.
+// Lease is how long a grant lets a proxy act on a version in full, on its own clock, from when it asked. It is shorter than
+// Within by the drift of the clocks on both sides.
 func (t Terms) Lease() time.Duration { return t.Within - t.Within*time.Duration(4*t.Drift)/1_000_000 }
 
 // Knows is how long a grant lets a proxy count on its knowledge, on its own clock, from when it asked.
@@ -41,12 +42,18 @@
 
 // Version is a rule book: numbered, content-addressed, complete. It is never changed.
 type Version struct {
-	Number     uint64 `json:"number"` // from 1 on, without gaps among those that were in force
+	Number     uint64 `json:"number"` // from 1 on, never given twice; one that was withdrawn leaves a gap
 	Digest     string `json:"digest"` // of Body, by Body.Digest
 	RollbackOf uint64 `json:"rollback_of,omitempty"`
 	By         string `json:"by,omitempty"`  // who proposed it, in the operator's words
 	Why        string `json:"why,omitempty"` // what for
 	Body       Body   `json:"body"`
+	// Force lets it become active past nodes that refused it; Stranded are those that it was forced past, by name.
+	Force    bool     `json:"force,omitempty"`
+	Stranded []string `json:"stranded,omitempty"`
+	// Longest is the longest Know that a grant still under way can carry while this version is in force: its own, or
+	// that of an earlier version whose grants were not over when this one became active.
+	Longest time.Duration `json:"longest_ns,omitempty"`
 }
 
 // Body is what a version holds. Two bodies of one digest decide alike.
@@ -97,6 +104,8 @@
 	Digest         string `json:"digest"`
 	Proposed       uint64 `json:"proposed,omitempty"` // to prepare; 0: none
 	ProposedDigest string `json:"proposed_digest,omitempty"`
+	// Forced means that the proposed version becomes active past nodes that refuse it.
+	Forced bool `json:"forced,omitempty"`
 	// Stranded means that the version in force was forced past this node, which could not prepare it.
 	Stranded bool  `json:"stranded,omitempty"`
 	Terms    Terms `json:"terms"` // of the version in force
--- a/internal/agreement/offers.go
+++ b/internal/agreement/offers.go
@@ -12,8 +12,8 @@
 	Active() (Version, bool)   // the version in force; false before the first one
 	Proposed() (Version, bool) // waits to become active
 	Version(number uint64) (Version, bool)
-	Members() []Member // by node
-	History() []Record // of versions: proposed, active, refused, withdrawn; the eldest first, bounded
+	Members() []Member // by node, then incarnation; not to be changed
+	History() []Record // of versions: proposed, active, withdrawn; the eldest first, bounded
 	Snapshot() ([]byte, error)
 	Restore(snapshot []byte) error
 }
@@ -45,6 +45,8 @@
 type Activate struct {
 	Number   uint64   `json:"number"`
 	Stranded []string `json:"stranded,omitempty"`
+	// Settled is the number of the version in force where no grant of an earlier one is under way any more; else 0.
+	Settled uint64 `json:"settled,omitempty"`
 }
 
 // Withdraw takes a proposal back: the operator's word, or nodes' refusals.
@@ -54,16 +56,20 @@
 	Refusals map[string]Refusal `json:"refusals,omitempty"` // by node
 }
 
-// Join makes a node known before its first grant, so that no version becomes active behind its back. Part forgets it.
+// Join makes a node's process known before its first grant, so that no version becomes active behind its back. A former
+// process of the node stays known until it has been silent for Know or said that it leaves, since it may still act. A
+// lower incarnation than one that is known is refused.
 type Join struct {
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"incarnation"`
 }
 
-// Part is described at Join.
+// Part forgets a node's process. Joined is the membership that it ends, so that a Part which is repeated does not end a
+// later one; 0: any.
 type Part struct {
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"incarnation"`
+	Joined      uint64 `json:"joined,omitempty"`
 }
 
 // Answer is what a command came to. Err is a *remedy.Error, nil where it was taken.
@@ -72,10 +78,11 @@
 	Err    error  `json:"-"`
 }
 
-// Member is a proxy that the keepers know.
+// Member is a proxy's process that the keepers know. Joined is the index of the command that it joined by.
 type Member struct {
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"incarnation"`
+	Joined      uint64 `json:"joined"`
 }
 
 // Record is a step in a version's life.
@@ -84,20 +91,27 @@
 	Number uint64 `json:"number"`
 	Step   string `json:"step"` // proposed, active, withdrawn
 	Why    string `json:"why,omitempty"`
+	// Refusals are why nodes could not hold it, by node, where it was withdrawn for that.
+	Refusals map[string]Refusal `json:"refusals,omitempty"`
 }
 
 // Wardship is what the Warden offers: a leading keeper's soft state. Times are the keeper's own monotonic clock.
 type Wardship interface {
-	// Lead is told when this keeper begins to lead, at which time and in which term; nothing heard before counts.
+	// Lead is told once this keeper leads and has applied an entry of its own term, and so all that was committed
+	// before, at which time and in which term; nothing heard before counts. Until then nothing is granted or due.
 	Lead(now time.Duration, term uint64)
+	// Rest is told when this keeper no longer leads: from then on nothing is granted or due.
+	Rest()
 	// Hear takes a renewal. Due are commands that must be committed before it may be granted, such as a Join.
 	Hear(now time.Duration, r Renewal) (due []Command)
 	// Grant answers a renewal that was heard, once a quorum has confirmed after the question came that this keeper
 	// leads, and all that was committed until then is applied. Not ok: the node has yet to join, or a later
-	// incarnation has; it then gets no answer.
+	// incarnation has, or a decision under way passes it over; it then gets no answer.
 	Grant(now time.Duration, r Renewal) (g Grant, ok bool)
 	// Due are the commands that time or what was heard makes due: to activate the proposal, to withdraw it, to part
 	// with members that have been silent for long. It may be asked at any time and repeats itself until they apply.
+	// They are decided for this leader's term: they must be proposed by it in that term, at once, or dropped, and never
+	// passed on to a later leader. From then on the nodes that a command passes over get no grant until it applies.
 	Due(now time.Duration) []Command
 	// Status says who holds up the proposal, and who is in which state.
 	Status(now time.Duration) []NodeStatus
@@ -138,7 +152,8 @@
 	Leased   State = "leased"   // acts in full
 	Lapsed   State = "lapsed"   // its lease is over; what the known next version contests is refused
 	Blind    State = "blind"    // cannot know what is in force; Terms.OnSilence says what it does
-	Stranded State = "stranded" // the version in force was forced past it
+	Stranded State = "stranded" // the version in force was forced past it, or it cannot prepare it: it holds
+	Leaving  State = "leaving"  // it takes nothing new any more
 )
 
 // FollowerState is told in telemetry.
@@ -163,7 +178,8 @@
 	}
 	// AskFailed is a renewal that got no answer in its time.
 	AskFailed struct{ Seq uint64 }
-	// PrepareDone is the outcome of a Prepare; Refusal nil: the version can be switched to.
+	// PrepareDone is the outcome of a Prepare; Refusal nil: the version can be switched to. A fetch that failed is no
+	// refusal, which would withdraw the version for the whole fleet: the caller fetches again until a Discard.
 	PrepareDone struct {
 		Number  uint64
 		Refusal *Refusal
@@ -191,9 +207,9 @@
 	}
 	// Switch makes a prepared version the one in force, in this turn.
 	Switch struct{ Number uint64 }
-	// Discard drops a prepared version that was withdrawn.
+	// Discard drops a version that will not be in force any more, whether it is prepared or under way.
 	Discard struct{ Number uint64 }
-	// WakeAt asks for a Tick at that time.
+	// WakeAt asks for a Tick at that time, in place of what an earlier one asked for.
 	WakeAt struct{ At time.Duration }
 	// Told is a change of state, for the log.
 	Told struct {
--- /dev/null
+++ b/internal/agreement/terms.go
@@ -0,0 +1,81 @@
+package agreement
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+)
+
+const (
+	minWithin = 10 * time.Millisecond
+	maxKnow   = time.Hour // so that no product of a duration and a drift overflows
+	maxDrift  = 100_000
+)
+
+// Filled gives the terms with what is not set by default: within 2 s, know 10 s or within where that is longer, hold,
+// drift 1,000 ppm. It fails with BadTerms; place is where they stand. Parts of a microsecond are dropped.
+func (t Terms) Filled(place string) (Terms, error) {
+	t.Within, t.Know = t.Within.Truncate(time.Microsecond), t.Know.Truncate(time.Microsecond)
+	if t.Within == 0 {
+		t.Within = 2 * time.Second
+	}
+	if t.Know == 0 {
+		t.Know = max(10*time.Second, t.Within)
+	}
+	if t.OnSilence == "" {
+		t.OnSilence = Hold
+	}
+	if t.Drift == 0 {
+		t.Drift = 1000
+	}
+	switch {
+	case t.Within < minWithin:
+		return t, BadTerms.New(place, "within is %v, at least %v is needed", t.Within, minWithin)
+	case t.Know < t.Within:
+		return t, BadTerms.New(place, "know is %v, under within, %v", t.Know, t.Within)
+	case t.Know > maxKnow:
+		return t, BadTerms.New(place, "know is %v, over %v", t.Know, maxKnow)
+	case t.OnSilence != Hold && t.OnSilence != Serve:
+		return t, BadTerms.New(place, "on silence is %.40q, neither %q nor %q", t.OnSilence, Hold, Serve)
+	case t.Drift < 0 || t.Drift > maxDrift:
+		return t, BadTerms.New(place, "drift is %d ppm, not from 0 to %d", t.Drift, maxDrift)
+	}
+	return t, nil
+}
+
+// silence is how long a leader must not have heard a node, on its own clock, until what the node was granted with a
+// Know of know is over. The node counts Knows, shorter by four drifts, from when it sent, which is before the leader
+// heard; in real time that is under know*(1-4d)/(1-d), and know on a leader's clock that runs fast is over
+// know/(1+d). The former is the shorter for every d up to the greatest, so know alone would do; the four drifts on top
+// are for a drift that the terms of an earlier version put lower than it is.
+func silence(know time.Duration, drift int64) time.Duration {
+	return know + know*time.Duration(4*drift)/1_000_000
+}
+
+type termsJSON struct {
+	Within    int64   `json:"within_us"`
+	Know      int64   `json:"know_us"`
+	OnSilence Silence `json:"on_silence"`
+	Drift     int64   `json:"drift_ppm"`
+}
+
+// MarshalJSON writes durations in microseconds (within_us, know_us) and the drift in parts per million (drift_ppm).
+func (t Terms) MarshalJSON() ([]byte, error) {
+	return json.Marshal(termsJSON{t.Within.Microseconds(), t.Know.Microseconds(), t.OnSilence, t.Drift})
+}
+
+// UnmarshalJSON reads what MarshalJSON writes; what is absent is zero. It fails with BadTerms on what no duration holds.
+func (t *Terms) UnmarshalJSON(b []byte) error {
+	var j termsJSON
+	if err := json.Unmarshal(b, &j); err != nil {
+		return BadTerms.Wrap("fleet terms", err)
+	}
+	const most = math.MaxInt64 / int64(time.Microsecond)
+	for _, us := range []int64{j.Within, j.Know} {
+		if us < 0 || us > most {
+			return BadTerms.New("fleet terms", "%d µs is no duration", us)
+		}
+	}
+	*t = Terms{time.Duration(j.Within) * time.Microsecond, time.Duration(j.Know) * time.Microsecond, j.OnSilence, j.Drift}
+	return nil
+}
--- /dev/null
+++ b/internal/agreement/warden.go
@@ -0,0 +1,307 @@
+package agreement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Warden is a leading keeper's own view of who has been heard when. It is lost with the leadership; a later leader
+// waits out what an earlier one may have granted.
+//
+// A decision that passes a node over (an activation without its word, a parting) holds from when it is given out until
+// it is applied, and the node gets no grant in between: a grant would let it count on the version in force for Know.
+type Warden struct {
+	book  Keeping
+	leads bool
+	lead  time.Duration
+	term  uint64
+
+	nodes      map[process]*heard
+	active     uint64        // as last seen in the book
+	since      time.Duration // when it was first seen there; it became active no later
+	activating *Activate     // given out, not applied yet
+	parting    map[process]Part
+	partAfter  time.Duration // for how many times patience a silent member stays one
+}
+
+type process struct {
+	node        string
+	incarnation uint64
+}
+
+// heard is what a process has told this leader. Renewal is of the highest Seq, since questions may pass one another.
+type heard struct {
+	Renewal
+	at time.Duration
+}
+
+var _ Wardship = (*Warden)(nil)
+
+// NewWarden makes one that does not lead yet.
+func NewWarden(book Keeping) *Warden { return &Warden{book: book, partAfter: 60} }
+
+// Lead is described at Wardship.
+func (w *Warden) Lead(now time.Duration, term uint64) {
+	*w = Warden{book: w.book, partAfter: w.partAfter, leads: true, lead: now, term: term, since: now,
+		nodes: map[process]*heard{}, parting: map[process]Part{}}
+	w.observe(now)
+}
+
+// Rest is described at Wardship.
+func (w *Warden) Rest() { *w = Warden{book: w.book, partAfter: w.partAfter} }
+
+// observe takes note of what was applied since it was last asked.
+func (w *Warden) observe(now time.Duration) {
+	if v, _ := w.book.Active(); v.Number != w.active {
+		w.active, w.since = v.Number, now
+	}
+	if w.activating != nil {
+		if p, ok := w.book.Proposed(); !ok || p.Number != w.activating.Number {
+			w.activating = nil
+		}
+	}
+	for k, p := range w.parting {
+		if m, ok := w.member(k); !ok || m.Joined != p.Joined {
+			delete(w.parting, k)
+		}
+	}
+}
+
+func (w *Warden) member(k process) (Member, bool) {
+	members := w.book.Members()
+	if i, ok := memberAt(members, k.node, k.incarnation); ok {
+		return members[i], true
+	}
+	return Member{}, false
+}
+
+// superseded reports whether a later process of the node has joined. What an earlier one was granted began before that.
+func (w *Warden) superseded(k process) bool {
+	latest, ok := latestOf(w.book.Members(), k.node)
+	return ok && latest > k.incarnation
+}
+
+// Hear is described at Wardship. What a superseded process says no longer puts off the end of its leases, since it is
+// granted no more of them; that it leaves is taken.
+func (w *Warden) Hear(now time.Duration, r Renewal) []Command {
+	if !w.leads || !nameable(r.Node) {
+		return nil
+	}
+	w.observe(now)
+	k := process{r.Node, r.Incarnation}
+	_, member := w.member(k)
+	h := w.nodes[k]
+	if h == nil {
+		if !member && len(w.nodes) >= 2*maxMembers {
+			return nil
+		}
+		h = &heard{Renewal: Renewal{Node: r.Node, Incarnation: r.Incarnation}, at: w.lead}
+		w.nodes[k] = h
+	}
+	if w.superseded(k) {
+		h.Leaving = h.Leaving || r.Leaving
+		return nil
+	}
+	h.at = now
+	if r.Seq >= h.Seq {
+		r.Leaving = r.Leaving || h.Leaving
+		h.Renewal = r
+	}
+	if member || h.Leaving {
+		return nil
+	}
+	return []Command{{Join: &Join{r.Node, r.Incarnation}}}
+}
+
+// Grant is described at Wardship. A process that leaves is answered whether it is known or not: the answer gives it
+// nothing, and ends its asking.
+func (w *Warden) Grant(now time.Duration, r Renewal) (Grant, bool) {
+	k := process{r.Node, r.Incarnation}
+	h := w.nodes[k]
+	if !w.leads || h == nil {
+		return Grant{}, false
+	}
+	w.observe(now)
+	if !r.Leaving {
+		_, member := w.member(k)
+		_, parting := w.parting[k]
+		if !member || parting || h.Leaving || w.superseded(k) {
+			return Grant{}, false
+		}
+		if w.activating != nil && h.Prepared != w.activating.Number {
+			return Grant{}, false
+		}
+	}
+	active, _ := w.book.Active()
+	g := Grant{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Term: w.term, Active: active.Number, Digest: active.Digest,
+		Terms: active.Body.Fleet}
+	if p, ok := w.book.Proposed(); ok {
+		// Told to a node that refused it as well: it must know as long as it may become active.
+		g.Proposed, g.ProposedDigest, g.Forced = p.Number, p.Digest, p.Force
+	}
+	if _, stranded := slices.BinarySearch(active.Stranded, r.Node); stranded {
+		g.Stranded = h.InForce != active.Number && h.Prepared != active.Number
+	}
+	return g, true
+}
+
+// settled reports whether all grants of versions before the one in force are over: they were asked for before it was
+// first seen in force.
+func (w *Warden) settled(now time.Duration, active Version) bool {
+	return now-w.since > silence(active.Longest, active.Body.Fleet.Drift)
+}
+
+// patience is how long a member must not have been heard. A grant carries the Know of the version that was active when
+// it was given, and the node may have got none since. So the longest Know counts that may be under way: Longest, as the
+// book has followed it over leaders, until this leader has seen the version in force for so long that only its own
+// grants are left.
+func (w *Warden) patience(now time.Duration) time.Duration {
+	active, ok := w.book.Active()
+	if !ok {
+		return silence(10*time.Second, 1000) // nothing is granted before the first version
+	}
+	if w.settled(now, active) {
+		return silence(active.Body.Fleet.Know, active.Body.Fleet.Drift)
+	}
+	return silence(active.Longest, active.Body.Fleet.Drift)
+}
+
+// silent is since when a process has not been heard, at the earliest since this keeper leads.
+func (w *Warden) silent(now time.Duration, h *heard) time.Duration {
+	if h == nil {
+		return now - w.lead
+	}
+	return now - max(h.at, w.lead)
+}
+
+// Due is described at Wardship.
+func (w *Warden) Due(now time.Duration) []Command {
+	if !w.leads {
+		return nil
+	}
+	w.observe(now)
+	patience := w.patience(now)
+	members := w.book.Members()
+	var due []Command
+	for _, m := range members {
+		k := process{m.Node, m.Incarnation}
+		h := w.nodes[k]
+		_, parting := w.parting[k]
+		quiet := w.silent(now, h)
+		if parting || h != nil && h.Leaving || quiet > patience && w.superseded(k) || quiet > w.partAfter*patience {
+			p := Part{m.Node, m.Incarnation, m.Joined}
+			w.parting[k] = p
+			due = append(due, Command{Part: &p})
+		}
+	}
+	for k, h := range w.nodes {
+		if _, member := w.member(k); !member && w.silent(now, h) > patience {
+			delete(w.nodes, k)
+		}
+	}
+	if p, ok := w.book.Proposed(); ok {
+		due = append(due, w.decide(now, p, patience)...)
+	}
+	return due
+}
+
+// decide says whether a proposal becomes active, is withdrawn, or waits.
+func (w *Warden) decide(now time.Duration, p Version, patience time.Duration) []Command {
+	if w.activating == nil {
+		refusals, all := map[string]Refusal{}, true
+		for _, m := range w.book.Members() {
+			switch h := w.nodes[process{m.Node, m.Incarnation}]; w.word(now, m, p, patience) {
+			case refuses:
+				refusals[m.Node] = *h.Refusal
+			case waits:
+				all = false
+			}
+		}
+		if len(refusals) > 0 && !p.Force {
+			return []Command{{Withdraw: &Withdraw{p.Number, why(refusals), bounded(refusals)}}}
+		}
+		if !all {
+			return nil
+		}
+		w.activating = &Activate{Number: p.Number, Stranded: sortedNodes(refusals)}
+		if active, ok := w.book.Active(); ok && w.settled(now, active) {
+			w.activating.Settled = active.Number
+		}
+	}
+	a := *w.activating
+	return []Command{{Activate: &a}}
+}
+
+// word is what a member has to say to a proposal.
+type word int
+
+const (
+	waits word = iota
+	agrees
+	refuses
+	passed // silent or leaving: it is not waited for
+)
+
+func (w *Warden) word(now time.Duration, m Member, p Version, patience time.Duration) word {
+	k := process{m.Node, m.Incarnation}
+	h := w.nodes[k]
+	switch {
+	case h != nil && h.Leaving:
+		return passed
+	case h != nil && h.Prepared == p.Number:
+		return agrees // it knows that this one may be in force from now on, whatever it hears
+	case h != nil && h.Refused == p.Number && h.Refusal != nil && !w.superseded(k):
+		return refuses
+	case w.silent(now, h) > patience:
+		return passed
+	}
+	return waits
+}
+
+func sortedNodes(refusals map[string]Refusal) []string {
+	var out []string
+	for node := range refusals {
+		out = append(out, node)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func why(refusals map[string]Refusal) string {
+	const told = 3
+	var parts []string
+	nodes := sortedNodes(refusals)
+	for _, node := range nodes[:min(told, len(nodes))] {
+		r := refusals[node]
+		parts = append(parts, fmt.Sprintf("%s: %s (%s)", cut(node, 64), cut(r.Cause, maxName), cut(r.Kind, 64)))
+	}
+	if more := len(nodes) - told; more > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", more))
+	}
+	return fmt.Sprintf("refused by %d: %s", len(nodes), strings.Join(parts, "; "))
+}
+
+// Status is described at Wardship. A member that this leader has not heard is told with its name alone.
+func (w *Warden) Status(now time.Duration) []NodeStatus {
+	if !w.leads {
+		return nil
+	}
+	w.observe(now)
+	patience := w.patience(now)
+	p, proposed := w.book.Proposed()
+	var out []NodeStatus
+	for _, m := range w.book.Members() {
+		s := NodeStatus{Renewal: Renewal{Node: m.Node, Incarnation: m.Incarnation}}
+		h := w.nodes[process{m.Node, m.Incarnation}]
+		if h != nil {
+			s.Renewal = h.Renewal
+		}
+		s.Heard = w.silent(now, h)
+		s.Silent = s.Heard > patience
+		s.HoldsUp = proposed && w.word(now, m, p, patience) == waits
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agreement/warden_test.go
@@ -0,0 +1,276 @@
+package agreement
+
+import (
+	"testing"
+	"time"
+
+	"example.org/micafront/internal/remedy"
+	"example.org/micafront/internal/testkit"
+)
+
+// ward is a leading keeper whose commands apply as they are given, unless held.
+type ward struct {
+	*Warden
+	t *testing.T
+	b *Book
+}
+
+const second = time.Second
+
+// A leader since 100 s, with version 2 in force, and members a and b.
+func leading(t *testing.T, members ...Join) ward {
+	b := bookAt2(t, members...)
+	w := ward{NewWarden(b), t, b}
+	w.Lead(100*second, 7)
+	return w
+}
+
+func (w ward) hear(at time.Duration, r Renewal) []Command {
+	if r.Incarnation == 0 {
+		r.Incarnation = 1
+	}
+	return w.Hear(at, r)
+}
+
+// due applies what is due and gives it, one word for each command.
+func (w ward) due(at time.Duration) []string {
+	w.t.Helper()
+	var out []string
+	for _, c := range w.Due(at) {
+		out = append(out, wordOf(c))
+		if a := applied(w.t, w.b, c); a.Err != nil {
+			w.t.Errorf("%s: %v", wordOf(c), a.Err)
+		}
+	}
+	return out
+}
+
+func wordOf(c Command) string {
+	switch {
+	case c.Activate != nil:
+		return "activate"
+	case c.Withdraw != nil:
+		return "withdraw"
+	case c.Part != nil:
+		return "part " + c.Part.Node
+	}
+	return "?"
+}
+
+func (w ward) granted(at time.Duration, r Renewal) (Grant, bool) {
+	if r.Incarnation == 0 {
+		r.Incarnation = 1
+	}
+	return w.Grant(at, r)
+}
+
+// patience10 is how long a member is waited for by the default terms.
+const patience10 = 10*second + 40*time.Millisecond
+
+func TestWhenAProposalIsDecided(t *testing.T) {
+	const at, leads = 101 * second, 100 * second
+	ready, silent := Renewal{Prepared: 3}, Renewal{Node: "-"}
+	refuses := func(n uint64) Renewal { return Renewal{Refused: n, Refusal: &Refusal{Kind: "k", Cause: "2 GiB"}} }
+	for name, c := range map[string]struct {
+		force bool
+		a, b  Renewal // heard at 101 s
+		then  func(ward)
+		at    time.Duration
+		want  []string
+	}{
+		"all have prepared it":             {a: ready, b: ready, at: at, want: []string{"activate"}},
+		"one has not":                      {a: ready, at: at + patience10},
+		"it has prepared another":          {a: ready, b: Renewal{Prepared: 2}, at: at + patience10},
+		"another process has prepared it":  {a: ready, b: Renewal{Incarnation: 9, Prepared: 3}, at: leads + patience10},
+		"one is silent":                    {a: ready, at: at + patience10 + 1, want: []string{"activate"}},
+		"one is not heard since it leads":  {a: ready, b: silent, at: leads + patience10},
+		"and for long":                     {a: ready, b: silent, at: leads + patience10 + 1, want: []string{"activate"}},
+		"one leaves":                       {a: ready, b: Renewal{Leaving: true}, at: at, want: []string{"part b", "activate"}},
+		"one refuses":                      {b: refuses(3), at: at, want: []string{"withdraw"}},
+		"one refuses another":              {a: ready, b: refuses(2), at: at},
+		"one refuses what is forced":       {force: true, a: ready, b: refuses(3), at: at, want: []string{"activate"}},
+		"forced, and one has not answered": {force: true, b: refuses(3), at: at},
+		"an older question comes late": {a: ready, b: Renewal{Seq: 5, Prepared: 3}, at: at, want: []string{"activate"},
+			then: func(w ward) { w.hear(at, Renewal{Node: "b", Seq: 4}) }},
+		"a new leader has heard nobody": {a: ready, b: ready, then: func(w ward) { w.Lead(at, 8) }, at: at + second},
+		"it leads no more":              {a: ready, b: ready, then: func(w ward) { w.Rest() }, at: at},
+		"members are silent for very long": {a: ready, at: at + 60*patience10 + 1,
+			want: []string{"part a", "part b", "activate"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := leading(t, Join{"a", 1}, Join{"b", 1})
+			applied(t, w.b, proposes(Propose{Body: body(`{}`), Force: c.force}))
+			for node, r := range map[string]Renewal{"a": c.a, "b": c.b} {
+				if r.Node != silent.Node {
+					r.Node = node
+					w.hear(at, r)
+				}
+			}
+			if c.then != nil {
+				c.then(w)
+			}
+			testkit.Equal(t, "due", c.want, w.due(c.at))
+		})
+	}
+}
+
+func TestARefusalIsToldAndAForcedOneStrands(t *testing.T) {
+	no := &Refusal{Kind: "footprint/too-heavy", Cause: "2 GiB", Estimate: 2 << 30, Heaviest: []string{"r"}}
+	refusing := Renewal{Node: "b", Refused: 3, Refusal: no}
+	w := leading(t, Join{"a", 1}, Join{"b", 1})
+	applied(t, w.b, proposes(Propose{Body: body(`{}`)}))
+	w.hear(101*second, refusing)
+	w.due(101 * second)
+	h := w.b.History()
+	testkit.Equal(t, "the record", Record{w.b.last, 3, "withdrawn", "refused by 1: b: 2 GiB (footprint/too-heavy)",
+		map[string]Refusal{"b": *no}}, h[len(h)-1])
+
+	applied(t, w.b, proposes(Propose{Body: body(`{}`), Force: true}))
+	refusing.Refused = 4
+	w.hear(102*second, refusing)
+	if g, ok := w.granted(102*second, refusing); !ok || g.Proposed != 4 || !g.Forced || g.Stranded {
+		t.Errorf("a refusing node is granted %+v", g)
+	}
+	w.hear(102*second, Renewal{Node: "a", Prepared: 4})
+	w.due(102 * second)
+	for _, c := range []struct {
+		r        Renewal
+		stranded bool
+	}{{refusing, true}, {Renewal{Node: "b", Seq: 1, Prepared: 4}, false}, {Renewal{Node: "b", Seq: 2, InForce: 4}, false},
+		{Renewal{Node: "a"}, false}} {
+		w.hear(103*second, c.r)
+		if g, ok := w.granted(103*second, c.r); !ok || g.Active != 4 || g.Stranded != c.stranded {
+			t.Errorf("to %+v %+v is granted", c.r, g)
+		}
+	}
+}
+
+// A decision passes nodes over from when it is given out, not from when it applies: a grant in between would let them
+// count on the version in force for Know.
+func TestNoGrantPastADecisionUnderWay(t *testing.T) {
+	w := leading(t, Join{"a", 1}, Join{"b", 1}, Join{"c", 1})
+	applied(t, w.b, proposes(Propose{Body: body(`{}`)}))
+	a, b := Renewal{Node: "a", Prepared: 3}, Renewal{Node: "b"}
+	late := 111 * second
+	w.hear(late, a)
+	w.hear(late, Renewal{Node: "c", Prepared: 3})
+	decided := w.Due(late)
+	w.hear(late, b)
+	testkit.Equal(t, "it stands although b is heard again", decided, w.Due(late))
+	if g, ok := w.granted(late, b); ok {
+		t.Errorf("b is granted %+v", g)
+	}
+	if g, ok := w.granted(late, a); !ok || g.Active != 2 || g.Proposed != 3 {
+		t.Errorf("a is granted %+v, %v", g, ok)
+	}
+	w.due(late)
+	if g, ok := w.granted(late, b); !ok || g.Active != 3 || g.Term != 7 || g.Digest == "" || g.Terms.Within != 2*second {
+		t.Errorf("then b is granted %+v, %v", g, ok)
+	}
+
+	parts := w.Due(late + 60*patience10 + 1)
+	later := late + 61*patience10
+	if len(parts) != 3 || len(w.hear(later, b)) != 0 {
+		t.Fatalf("%d are parted with", len(parts))
+	}
+	if _, ok := w.granted(later, b); ok {
+		t.Error("b is granted while it is parted with")
+	}
+	applied(t, w.b, parts...)
+	join := w.hear(later, b)
+	if len(join) != 1 || join[0].Join == nil {
+		t.Fatalf("b must join again, and is told %+v", join)
+	}
+	if _, ok := w.granted(later, b); ok {
+		t.Error("b is granted before it has joined")
+	}
+	applied(t, w.b, join...)
+	if a := applied(t, w.b, parts[1]); !NotMember.Of(a.Err) {
+		t.Errorf("the former parting ends the new membership: %v", a.Err)
+	}
+	if _, ok := w.granted(later, b); !ok {
+		t.Error("b has joined and is not granted")
+	}
+}
+
+func TestAFormerProcessIsWaitedOut(t *testing.T) {
+	w := leading(t, Join{"a", 1})
+	old, young := Renewal{Node: "a", Prepared: 3}, Renewal{Node: "a", Incarnation: 2, Prepared: 3}
+	w.hear(101*second, Renewal{Node: "a"})
+	applied(t, w.b, w.hear(102*second, young)...)
+	applied(t, w.b, proposes(Propose{Body: body(`{}`)}))
+	w.hear(102*second, young)
+	w.hear(103*second, old) // counts no more, nor puts it off
+	if _, ok := w.granted(103*second, old); ok {
+		t.Error("a former process is granted")
+	}
+	testkit.Equal(t, "while it may act", []string(nil), w.due(101*second+patience10))
+	w.hear(110*second, young)
+	testkit.Equal(t, "thereafter", []string{"part a", "activate"}, w.due(101*second+patience10+1))
+	testkit.Equal(t, "members", []Member{{"a", 2, 5}}, w.b.Members())
+
+	applied(t, w.b, Command{Join: &Join{"a", 3}}, proposes(Propose{Body: body(`{}`)}))
+	w.hear(112*second, Renewal{Node: "a", Incarnation: 3, Prepared: 4})
+	leaves := Renewal{Node: "a", Incarnation: 2, Leaving: true, Seq: 9}
+	w.hear(112*second, leaves)
+	testkit.Equal(t, "it says that it leaves", []string{"part a", "activate"}, w.due(112*second))
+	if _, ok := w.granted(112*second, leaves); !ok || len(w.hear(112*second, leaves)) != 0 {
+		t.Error("its word is not confirmed, or it joins again")
+	}
+	if _, ok := w.granted(112*second, Renewal{Node: "a", Incarnation: 2, Seq: 8}); ok {
+		t.Error("an earlier question of it is granted")
+	}
+}
+
+func TestTheLongestKnowUnderWayCounts(t *testing.T) {
+	b := NewBook()
+	know := func(d time.Duration) Command {
+		p := body(`{}`)
+		p.Fleet = Terms{Know: d}
+		return proposes(Propose{Body: p})
+	}
+	applied(t, b, know(100*second), Command{Join: &Join{"a", 1}}, know(10*second), Command{Activate: &Activate{Number: 2}})
+	w := ward{NewWarden(b), t, b}
+	w.Lead(100*second, 1)
+	w.hear(105*second, Renewal{Node: "a"})
+	applied(t, b, know(20*second))
+	settles := 100*second + 100*second + 400*time.Millisecond // since it leads, a lease of version 1 and its drift
+	testkit.Equal(t, "while grants of version 1 may be under way", []string(nil), w.due(settles))
+	testkit.Equal(t, "thereafter", []string{"activate"}, w.due(settles+1))
+	if v, _ := b.Active(); v.Longest != 20*second {
+		t.Errorf("the longest is then %v", v.Longest)
+	}
+}
+
+func TestStatusNamesWhoHoldsUp(t *testing.T) {
+	w := leading(t, Join{"a", 1}, Join{"b", 1}, Join{"c", 1})
+	applied(t, w.b, proposes(Propose{Body: body(`{}`)}))
+	w.hear(105*second, Renewal{Node: "a", Prepared: 3})
+	w.hear(109*second, Renewal{Node: "c", InForce: 2})
+	testkit.Equal(t, "status", []NodeStatus{
+		{Renewal{Node: "a", Incarnation: 1, Prepared: 3}, 6 * second, false, false},
+		{Renewal{Node: "b", Incarnation: 1}, 11 * second, true, false},
+		{Renewal{Node: "c", Incarnation: 1, InForce: 2}, 2 * second, false, true},
+	}, w.Status(111*second))
+}
+
+func TestAWardenTakesNothingBeforeItLeads(t *testing.T) {
+	w := NewWarden(bookAt2(t, Join{"a", 1}))
+	r := Renewal{Node: "a", Incarnation: 1}
+	_, ok := w.Grant(0, r)
+	if ok || w.Hear(0, r) != nil || w.Due(time.Hour) != nil || w.Status(time.Hour) != nil {
+		t.Error("it does")
+	}
+	w.Lead(0, 1)
+	if _, ok := w.Grant(0, r); ok {
+		t.Error("what it has not heard is granted")
+	}
+	for _, name := range []string{"", "\xff", string(make([]byte, maxName+1))} {
+		if w.Hear(0, Renewal{Node: name, Incarnation: 1}) != nil || len(w.nodes) != 0 {
+			t.Errorf("%.10q is heard", name)
+		}
+	}
+	if kinds := remedy.Kinds(); len(kinds) < len(ownKinds) {
+		t.Errorf("%d kinds of error", len(kinds))
+	}
+}
