--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -15,12 +15,16 @@
 
 // gate is a reader that reads only once it is opened.
 type gate struct {
-	open chan struct{}
-	mu   sync.Mutex
-	buf  bytes.Buffer
+	came, open chan struct{} // came gets one for each write, before it waits
+	mu         sync.Mutex
+	buf        bytes.Buffer
 }
 
 func (g *gate) Write(p []byte) (int, error) {
+	select {
+	case g.came <- struct{}{}:
+	default:
+	}
 	<-g.open
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -65,28 +69,29 @@
 	Equal(t, "lines", "two\n", b.String())
 }
 
-// A reader that reads nothing holds nobody up; what is lost is counted, and told once it reads again.
+// A reader that reads nothing holds nobody up; what is lost is counted, and told once it reads again. Lines are counted
+// once the writer has taken its first one and waits with it: whenever it did, what is lost would depend on that.
 func TestNeverBlocks(t *testing.T) {
-	g := &gate{open: make(chan struct{})}
+	g := &gate{came: make(chan struct{}, 1), open: make(chan struct{})}
 	l := New(g, Plain, zap.InfoLevel)
-	for range maxWaiting + 500 {
-		l.Info("line")
-	}
-	lost := l.Lost()
-	if lost < 499 || lost > 500 { // one may be with the writer already
-		t.Errorf("%d lines lost", lost)
-	}
-	big := strings.Repeat("x", maxHeld/2)
-	for range 3 {
+	l.Info("line")
+	<-g.came
+	big := strings.Repeat("x", maxHeld/2+1)
+	for range 3 { // two of them are over the bound of bytes
 		io.WriteString(l, big)
 	}
-	Equal(t, "lost", lost+3, l.Lost())
+	Equal(t, "lost by their bytes", int64(2), l.Lost())
+	for range maxWaiting - 1 + 500 { // one place is the big line's
+		l.Info("line")
+	}
+	Equal(t, "lost by their number too", int64(502), l.Lost())
 	if err := l.Close(); err == nil {
 		t.Error("closed, though nobody read")
 	}
 	close(g.open)
 	<-l.out.ended
-	if text := g.buf.String(); !strings.Contains(text, "log lines were lost") || strings.Count(text, "line\n") < maxWaiting {
+	text := g.buf.String()
+	if !strings.HasSuffix(text, "log lines were lost, as they were not read in time\t{\"lines\": 502}\n") || strings.Count(text, "line\n") != maxWaiting {
 		t.Errorf("%d lines, %.80q", strings.Count(text, "line\n"), text[max(0, len(text)-80):])
 	}
 }
