Add the keepers: raft driven by ticks, a log in bbolt, and calls to renew, propose and watch

Need: versions must be agreed on by processes of which some fail, without a line of home-made consensus.

--- /dev/null
+++ b/internal/keeper/errors.go
@@ -0,0 +1,86 @@
+package keeper
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/quorum"
+	"example.org/micafront/internal/remedy"
+)
+
+// What a call can come to, beside what the quorum and the agreement say.
+var (
+	Overloaded = remedy.NewKind("keeper/overloaded",
+		"nothing was taken: ask again after Retry-After; where it lasts, see the keeper's CPU and who asks how often")
+	TimedOut = remedy.NewKind("keeper/timed-out",
+		"see /v1/status for the leader and who holds up the version; repeat a proposal under the same id")
+	Stopping    = remedy.NewKind("keeper/stopping", "ask another keeper")
+	BadRequest  = remedy.NewKind("keeper/bad-request", "correct what the cause names; docs/FLEET.md lists the calls")
+	BrokenRules = remedy.NewKind("keeper/broken-rules",
+		"correct the member that is named and propose again; micafront config check says the same")
+	Withdrawn    = remedy.NewKind("keeper/withdrawn", "do what the refusals' causes ask for, or propose again with force")
+	OtherDigest  = remedy.NewKind("keeper/other-digest", "ask for a grant again: the version's number belongs to other contents")
+	LeaderUnwell = remedy.NewKind("keeper/leader-unreachable",
+		"see that keepers reach one another at the addresses of their files; repeat a proposal under the same id")
+	ListenFailed = remedy.NewKind("keeper/listen-failed", "free the address, or tell the keeper another one")
+)
+
+// Fault is how an error is told to callers.
+type Fault struct {
+	Kind   string `json:"kind"`
+	Place  string `json:"place,omitempty"`
+	Cause  string `json:"cause,omitempty"`
+	Remedy string `json:"remedy"`
+	Leader uint64 `json:"leader,omitempty"` // as far as the keeper knows
+}
+
+// codes are the HTTP status codes of errors; what is not listed is the caller's to correct, 422.
+var codes = map[*remedy.Kind]int{
+	quorum.NotLeading: 503, quorum.Uncertain: 503, quorum.Busy: 503, quorum.Broken: 503, Overloaded: 503, Stopping: 503,
+	LeaderUnwell: 503, TimedOut: 504, quorum.Unknown: 409, quorum.TooLarge: 413, agreement.TooLarge: 413, BadRequest: 400,
+	OtherDigest: 409, Withdrawn: 409,
+	agreement.StaleBase: 409, agreement.AlreadyProposed: 409, agreement.NotProposed: 409, agreement.UnknownVersion: 404,
+}
+
+// fault writes an error. All errors that reach here are of a kind; one that is not would be a fault of this program.
+func fault(w http.ResponseWriter, err error, leader uint64) {
+	var e *remedy.Error
+	f := Fault{Kind: "keeper/unknown", Cause: err.Error(), Remedy: "keep the keeper's log for a report", Leader: leader}
+	code := http.StatusInternalServerError
+	if errors.As(err, &e) {
+		f = Fault{Kind: e.Kind.Name, Place: e.Place, Cause: e.Cause, Remedy: e.Remedy(), Leader: leader}
+		if e.Err != nil {
+			if f.Cause != "" {
+				f.Cause += ": "
+			}
+			f.Cause += e.Err.Error()
+		}
+		if code = codes[e.Kind]; code == 0 {
+			code = http.StatusUnprocessableEntity
+		}
+	}
+	answer(w, code, f)
+}
+
+// answer writes a JSON answer.
+func answer(w http.ResponseWriter, code int, what any) {
+	text, err := json.Marshal(what)
+	if err != nil { // of types of this program, so it cannot
+		code, text = 500, []byte(`{"kind":"keeper/unknown"}`)
+	}
+	write(w, code, append(text, '\n'))
+}
+
+// write writes JSON. Its length is told, which the shortest of clients can read by.
+func write(w http.ResponseWriter, code int, text []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(code)
+	_, _ = w.Write(text) // a caller that is gone needs no answer
+}
