--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"example.org/micafront/internal/config"
 	"example.org/micafront/internal/logging"
 	"example.org/micafront/internal/proxy"
+	"example.org/micafront/internal/remedy"
 )
 
 func main() {
@@ -19,11 +21,20 @@
 		os.Exit(2)
 	}
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "micafront:", err)
+		fmt.Fprintln(os.Stderr, "micafront:", lastLine(err))
 		os.Exit(1)
 	}
 }
 
+// lastLine is an error on one line, with what can be done about it.
+func lastLine(err error) string {
+	line := strings.ReplaceAll(err.Error(), "\n", "; ")
+	if cures := remedy.Remedies(err); len(cures) > 0 {
+		line += " (" + strings.Join(cures, "; ") + ")"
+	}
+	return line
+}
+
 // tools becomes the program that has all other commands. This one serves and links none of them.
 func tools() error {
 	path, err := config.ToolsPath(os.Getenv)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/remedy"
 	"golang.org/x/sys/unix"
 )
 
@@ -22,6 +23,15 @@
 // without an answer the successor starts on its own, and has seconds left for that.
 const takeTime = 2 * time.Second
 
+// What keeps a place from being handed over, or offered. In each case the new process serves by itself, and the old one
+// goes on.
+var (
+	unanswered = remedy.NewKind("handover/unanswered", "see whether the old process still runs and is not stopped (SIGCONT), then end the new one and start it again; or let both run and send the old one SIGTERM")
+	otherUser  = remedy.NewKind("handover/other-user", "run the old and the new process as one user, or give each a TMPDIR of its own")
+	unfit      = remedy.NewKind("handover/unfit", "see that what listens at that socket is a micafront of a release that hands over; remove the socket if it is not")
+	unoffered  = remedy.NewKind("handover/not-offered", "make TMPDIR a folder in which this user may make sockets; until then the process cannot be upgraded in place, only restarted")
+)
+
 // Path names the socket of the process that serves as name at addr, "" where there is no folder for it.
 func Path(dir, name, addr string) string {
 	if dir == "" {
@@ -60,6 +70,10 @@
 	link = -1
 	defer func() {
 		if err != nil {
+			var typed *remedy.Error
+			if !errors.As(err, &typed) {
+				err = unanswered.Wrap(path, err)
+			}
 			_ = unix.Close(link)
 			for _, fd := range listeners {
 				_ = unix.Close(fd)
@@ -81,13 +95,13 @@
 		return link, listeners, nil, os.NewSyscallError("connect", err)
 	}
 	if !SameUser(link) {
-		return link, listeners, nil, errors.New("the socket is another user's")
+		return link, listeners, nil, otherUser.New(path, "the socket is another user's")
 	}
 	buf, rights := make([]byte, 64<<10), make([]byte, unix.CmsgSpace(4*maxListeners))
 	for !bytes.HasSuffix(text, []byte("\n")) {
 		left := time.Until(end)
 		if left <= 0 || len(text) > maxText {
-			return link, listeners, nil, errors.New("not handed over in time")
+			return link, listeners, nil, unanswered.New(path, "not handed over in time")
 		}
 		limit = unix.NsecToTimeval(int64(max(left, time.Millisecond)))
 		_ = unix.SetsockoptTimeval(link, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &limit)
@@ -99,7 +113,7 @@
 			return link, listeners, nil, os.NewSyscallError("recvmsg", rerr)
 		}
 		if n == 0 {
-			return link, listeners, nil, errors.New("the old process went away")
+			return link, listeners, nil, unanswered.New(path, "the old process went away")
 		}
 		for _, fd := range evloop.Descriptors(rights[:rn]) {
 			listeners = append(listeners, fd)
@@ -108,17 +122,22 @@
 	}
 	for _, fd := range listeners {
 		if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on != 1 {
-			return link, listeners, nil, errors.New("a descriptor came that does not listen")
+			return link, listeners, nil, unfit.New(path, "a descriptor came that does not listen")
 		}
 	}
 	if len(listeners) == 0 {
-		return link, listeners, nil, errors.New("no listening descriptor came")
+		return link, listeners, nil, unfit.New(path, "no listening descriptor came")
 	}
 	return link, listeners, text, nil
 }
 
 // Offer waits at path for a successor. What an earlier process left there is taken away.
-func Offer(loop *evloop.Loop, path string, open func(*evloop.Conn) evloop.Handler) (*evloop.Listener, error) {
+func Offer(loop *evloop.Loop, path string, open func(*evloop.Conn) evloop.Handler) (ln *evloop.Listener, err error) {
+	defer func() {
+		if err != nil {
+			err = unoffered.Wrap(path, err)
+		}
+	}()
 	addr, done, err := near(path)
 	if err != nil {
 		return nil, err
@@ -139,7 +158,7 @@
 		_ = unix.Close(fd)
 		return nil, os.NewSyscallError("bind", err)
 	}
-	ln, err := loop.Inherit(fd, open, func(error) {})
+	ln, err = loop.Inherit(fd, open, func(error) {})
 	if err != nil {
 		_ = unix.Close(fd)
 	}
--- a/internal/httpin/httpin.go
+++ b/internal/httpin/httpin.go
@@ -25,17 +25,27 @@
 	state   func(*Parser) (more bool, err error)
 	status  int
 	left    int64 // of the body or chunk; -1: until the connection ends
+	most    int64 // bytes that the body, or one chunk of it, may have
 	chunked bool
 	done    bool
 	body    func([]byte) error
 }
 
 // New makes one that hands the body's bytes to a function; its error ends the reading.
-func New(body func([]byte) error) *Parser { return &Parser{state: (*Parser).head, body: body} }
+func New(body func([]byte) error) *Parser { return NewWithin(MaxBody, body) }
+
+// NewWithin makes one for bodies, or chunks, of up to that many bytes. A body in chunks has no bound here: whoever takes
+// its bytes sets one.
+func NewWithin(most int64, body func([]byte) error) *Parser {
+	return &Parser{state: (*Parser).head, body: body, most: most}
+}
 
 // Status is the answer's, 0 until it has come.
 func (p *Parser) Status() int { return p.status }
 
+// Left is how much of the body, or of its present chunk, is to come, in bytes, as the answer says; below 0 where it does not.
+func (p *Parser) Left() int64 { return p.left }
+
 // Done reports whether the whole body has come.
 func (p *Parser) Done() bool { return p.done }
 
@@ -105,8 +115,10 @@
 		case "transfer-encoding":
 			p.chunked = strings.EqualFold(value, "chunked")
 		case "content-length":
-			if p.left, err = strconv.ParseInt(value, 10, 64); err != nil || p.left < 0 || p.left > MaxBody {
+			if p.left, err = strconv.ParseInt(value, 10, 64); err != nil || p.left < 0 {
 				return false, fmt.Errorf("content-length %q", value)
+			} else if p.left > p.most {
+				return false, fmt.Errorf("content-length %q: %w", value, ErrTooLong)
 			}
 		}
 	}
@@ -139,7 +151,7 @@
 	}
 	size, _, _ := strings.Cut(line, ";")
 	if p.left, err = strconv.ParseInt(strings.TrimSpace(size), 16, 64); err != nil || p.left < 0 ||
-		p.left > MaxBody {
+		p.left > p.most {
 		return false, fmt.Errorf("chunk size %q", line)
 	}
 	p.state = (*Parser).chunk
--- /dev/null
+++ b/internal/registry/stream_test.go
@@ -0,0 +1,188 @@
+package registry
+
+import (
+	"bytes"
+	stdjson "encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"example.org/micafront/internal/httpin"
+	. "example.org/micafront/internal/testkit"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// readAll feeds a stream pieces whose sizes come from next, and gives the lists, and the blanks that it told of.
+func readAll(text []byte, next func() int) (lists []List, blanks int, err error) {
+	var s stream
+	defer s.Close()
+	for len(text) > 0 && err == nil {
+		n := min(max(next(), 1), len(text))
+		err = s.Feed(append([]byte(nil), text[:n]...), func() { blanks++ }, func(l List) error {
+			lists = append(lists, l)
+			return nil
+		})
+		text = text[n:]
+	}
+	return lists, blanks, err
+}
+
+func pieces(n int) func() int { return func() int { return n } }
+
+// Any way of writing objects, with any blanks between them or none, in any pieces, gives the lists that were meant.
+func TestAnyIndentationInAnyPieces(t *testing.T) {
+	blank := rapid.StringMatching(`[ \t\r\n]{0,4}`)
+	Property(t, func(t *rapid.T) {
+		var want []List
+		var text bytes.Buffer
+		for range rapid.IntRange(0, 4).Draw(t, "objects") {
+			l := List{Generation: rapid.Int64Min(0).Draw(t, "generation"), Reset: rapid.Bool().Draw(t, "reset"), Instances: []Entry{}}
+			for i := range rapid.IntRange(0, 20).Draw(t, "entries") {
+				l.Instances = append(l.Instances, Entry{ID: fmt.Sprintf("s-%d%s", i, rapid.String().Draw(t, "id")),
+					Lifecycle: rapid.SampledFrom([]string{"in_service", "terminating", Terminated}).Draw(t, "lifecycle"),
+					HostPort:  rapid.StringMatching(`[{}"\\\[\],: \n]*`).Draw(t, "address"), Weight: rapid.Float64Range(0, 9).Draw(t, "weight")})
+			}
+			want = append(want, l)
+			compact, err := stdjson.Marshal(l)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text.WriteString(blank.Draw(t, "before"))
+			if rapid.Bool().Draw(t, "indented") {
+				err = stdjson.Indent(&text, compact, blank.Draw(t, "prefix"), blank.Draw(t, "indent"))
+			} else {
+				text.Write(compact)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		text.WriteString(blank.Draw(t, "after") + "\n")
+		got, _, err := readAll(text.Bytes(), func() int { return rapid.IntRange(1, 600).Draw(t, "piece") })
+		if err != nil {
+			t.Fatalf("%v: %q", err, text.Bytes())
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Fatalf("lists (-want +got):\n%s", d)
+		}
+	})
+}
+
+// However an answer is cut, it gives the same lists, and the same verdict on it.
+func FuzzStreamInPieces(f *testing.F) {
+	for i, s := range seeds {
+		f.Add([]byte(s+"\n\n"+s), uint16(i))
+	}
+	f.Add([]byte("{}\x000"), uint16(0))
+	f.Add([]byte("{\"a\":\"\x18\"}{}"), uint16(0))
+	f.Add([]byte("{\"generation\":1,\n \"x\": [1, {\"y\": \"}\\\"\"}],\n\"instances\": []}{} \n{\"generation\":2"), uint16(7))
+	f.Fuzz(func(t *testing.T, text []byte, piece uint16) {
+		text = append(text, '\n')
+		whole, _, err := readAll(text, pieces(len(text)))
+		cut, _, errCut := readAll(text, pieces(int(piece)))
+		Equal(t, "lists", whole, cut)
+		if (err == nil) != (errCut == nil) || err != nil && !(errors.Is(err, ErrBroken) && errors.Is(errCut, ErrBroken)) {
+			t.Errorf("whole: %v; in pieces of %d: %v", err, piece, errCut)
+		}
+		if err != nil && strings.ContainsAny(err.Error(), "\n\r") {
+			t.Errorf("not one line: %q", err)
+		}
+	})
+}
+
+// Garbage is found out as it comes, not when a line or the answer ends; blanks count before, between and after objects.
+func TestGarbageAndBlanks(t *testing.T) {
+	for i, c := range []struct {
+		text          string
+		lists, blanks int
+		broken        bool
+	}{
+		{"\n\n", 0, 2, false},
+		{"\n{\"generation\":1}\n{\"generation\":2}{\"generation\":3}\n", 3, 3, false},
+		{`{"generation":1,"ins`, 0, 0, false},
+		{`{"generation":1}`, 1, 0, false},
+		{"{\"generation\":1,\"ins\n", 0, 0, true},
+		{"{\n\"generation\":1,\"instances\":[{]", 0, 0, true},
+		{"{\"generation\":1,\"instances\":[{]}\n", 0, 0, true},
+		{"{\"generation\":1}]\n", 1, 0, true},
+		{"{}\x000\n", 1, 0, true},
+		{"{\"a\":\"\x18\"}{}\n", 0, 0, true},
+		{`null`, 0, 0, true},
+		{`HTTP`, 0, 0, true},
+		{"{\"instances\":[{\"instanceId\":\"\xff\",\"lifecycle\":\"in_service\"}]}\n", 0, 0, true},
+		{"{\"generation\":-1}{\"generation\":2}\n", 0, 0, true},
+	} {
+		lists, blanks, err := readAll([]byte(c.text), pieces(1+i%2*99))
+		Equal(t, c.text, []any{c.lists, c.blanks, c.broken}, []any{len(lists), blanks, errors.Is(err, ErrBroken)})
+	}
+}
+
+// An object of up to the bound is read in time that grows with its length, not with its square, which would be minutes
+// here; over the bound it is refused as soon as it is.
+func TestHugeObjects(t *testing.T) {
+	for _, form := range []string{`{"generation":1,"x":"%s"}`, "{\n\"generation\":1,\n\"x\":\n\"%s\"\n}"} {
+		for _, fill := range []string{"}", "\\\""} {
+			huge := func(size int) []byte {
+				return fmt.Appendf(nil, form+"\n", strings.Repeat(fill, (size-len(form))/len(fill)))
+			}
+			for size, piece := range map[int]int{1 << 18: 1, httpin.MaxBody: 9999} {
+				if lists, _, err := readAll(huge(size), pieces(piece)); len(lists) != 1 || err != nil {
+					t.Errorf("%s of %q, %d bytes: %d lists, %v", form, fill, size, len(lists), err)
+				}
+			}
+			if _, _, err := readAll(huge(httpin.MaxBody+64), pieces(64<<10)); !errors.Is(err, httpin.ErrTooLong) {
+				t.Errorf("%s of %q, too long: %v", form, fill, err)
+			}
+		}
+	}
+}
+
+// No object that was cut short is taken for one.
+func TestNoObjectCutShort(t *testing.T) {
+	for _, s := range seeds[:2] {
+		for n := range len(s) {
+			if l, err := ParseList([]byte(s[:n])); err == nil {
+				t.Errorf("%s was taken: %+v", s[:n], l)
+			}
+		}
+	}
+}
+
+// A stream that is closed in mid-object reads nothing more, and one whose reader closes it tells of nothing further.
+func TestStreamClosed(t *testing.T) {
+	var s stream
+	never := func(List) error { t.Error("a list came"); return nil }
+	Equal(t, "half", nil, s.Feed([]byte(`{"generation":1,`), func() {}, never))
+	s.Close()
+	Equal(t, "closed", nil, s.Feed([]byte(`"x":0}`), func() {}, never))
+	one, told := stream{}, 0
+	err := one.Feed([]byte("{}{}\n"), func() {}, func(List) error { told++; one.Close(); return nil })
+	Equal(t, "told", []any{1, nil}, []any{told, err})
+}
+
+// bigList is one of n next hops, on one line.
+func bigList(n int) []byte {
+	var l strings.Builder
+	for i := range n {
+		fmt.Fprintf(&l, `,{"instanceId":"s-%08x","hostPort":"10.1.%d.%d:8081","zone":"a","machineType":"m2","cell":3,"lifecycle":"in_service","weight":1.0,"startedAtMs":0}`, i, i>>8, i&255)
+	}
+	return []byte(`{"generation":41,"reset":true,"instances":[` + l.String()[1:] + "]}\n")
+}
+
+// The whole list of 600 next hops on a line, and one change, as they come from the socket.
+func BenchmarkStream(b *testing.B) {
+	for _, n := range []int{1, 600} {
+		text := bigList(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.SetBytes(int64(len(text)))
+			b.ReportAllocs()
+			for range b.N {
+				if lists, _, err := readAll(text, pieces(64<<10)); len(lists) != 1 || err != nil {
+					b.Fatal(lists, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/routing/journey.go
+++ b/internal/routing/journey.go
@@ -66,6 +66,9 @@
 // Ended notes how an attempt ended.
 func (j *Journey) Ended(neverRan bool) { j.ran = j.ran || !neverRan }
 
+// Ran reports whether an attempt may have run.
+func (j *Journey) Ran() bool { return j.ran }
+
 // Attempts is how many the present pool may still make, given what the limits allow in all.
 func (j *Journey) Attempts(limit int) int {
 	if j.Policy.Attempts > 0 {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -119,7 +119,7 @@
 		}
 	}
 	slices.SortStableFunc(t.rules, t.compare)
-	if err := t.ambiguous(); err != nil {
+	if err := t.ambiguities(); err != nil {
 		return nil, err
 	}
 	t.index()
@@ -205,7 +205,10 @@
 	return fmt.Sprintf("routes %q and %q both claim %s, at the same precedence", a.A, a.B, a.What)
 }
 
-func (t *Table) ambiguous() error {
+// Unwrap gives its kind.
+func (a Ambiguity) Unwrap() error { return ambiguous.New("", "") }
+
+func (t *Table) ambiguities() error {
 	var errs []error
 	told := map[[2]int32]bool{}
 	for i := 1; i < len(t.rules); i++ {
