Follow the fleet's versions in the proxy: leases, preparing, switching, and what is refused

Need: the proxy's side of the agreement, off without a fleet record. Change: internal/keeperlink asks keepers on the event loop; internal/proxy/fleet.go carries out the follower's actions, asks for a permit when a request comes, before each attempt and when its first line is about to go out, and prepares versions in a goroutine that lives as long as that takes, never one that is estimated not to fit. A standing connection no longer keeps the table alive by which it was routed.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -25,6 +25,7 @@
 	Probes, ProbesFailed                                                                       Counter
 	HandedOn, TakenOver                                                                        Counter
 	OpenNow                                                                                    Counter
+	Fleet                                                                                      *Fleet // nil: a proxy without keepers
 
 	classes, tenants byName
 }
@@ -105,5 +106,10 @@
 	} {
 		fmt.Fprintf(w, "%s=%d ", f.name, f.v)
 	}
+	if c.Fleet != nil {
+		for _, f := range c.Fleet.named() {
+			fmt.Fprintf(w, "fleet_%s=%d ", f.name, f.v)
+		}
+	}
 	fmt.Fprintln(w)
 }
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -34,6 +34,10 @@
 		p.refuse(f, min(noRoomAfter, p.set.Limits.MaxRetryAfter))
 		return
 	}
+	if after, ok := p.permitted(f, false); !ok {
+		p.withhold(f, after)
+		return
+	}
 	c, _ := p.classOf(o)
 	if f.safe = c.Effect == micafront.Safe; !o.HasWait {
 		o.Wait = c.GiveUp
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -35,11 +35,15 @@
 }
 
 // Ready, Telemetry, Evacuate and Rejoin are what operators ask for (operator.Proxy).
-func (p *Proxy) Ready() bool { return p.closedAt == 0 }
+func (p *Proxy) Ready() bool { return p.closedAt == 0 && !p.starting() }
 
 func (p *Proxy) Telemetry() []byte {
-	return p.poolFigures(p.count.Figures(nil, counters.State{Pending: len(p.flows), Members: len(p.hops),
+	b := p.poolFigures(p.count.Figures(nil, counters.State{Pending: len(p.flows), Members: len(p.hops),
 		MembersUnavailable: p.avoided()}))
+	if p.fleet != nil {
+		b = p.fleet.figures(b)
+	}
+	return b
 }
 
 // LogLevel is the least severe level that is logged; SetLogLevel changes it (operator.Proxy).
@@ -141,6 +145,9 @@
 			}
 		}
 		p.closedAt = now
+		if p.fleet != nil {
+			p.fleet.leave()
+		}
 	}
 	// What the listener's queue still held has been accepted by its Close, but is yet to be read and answered.
 	return p.closedAt != 0 && (p.settled() && now-p.closedAt >= stopStep || past >= stopLast+stopQuiet)
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -158,12 +158,18 @@
 
 // line is what routing is told of a request.
 func (p *Proxy) line(f *flow) routing.Line {
+	return p.lineIn(f, p.table, nil)
+}
+
+// lineIn is that in the form which a table asks for; fields has room for those of the line, or gets it.
+func (p *Proxy) lineIn(f *flow, table *routing.Table, fields []string) routing.Line {
 	o := f.opening
-	l := routing.Line{Class: o.Class, Key: o.Key, Group: o.Group, Zone: p.set.Zone, Listener: f.listener}
-	if names := p.table.FieldNames; len(names) > 0 && o.Fields != nil {
-		l.Fields = make([]string, len(names))
-		for i, name := range names {
-			l.Fields[i], _ = o.Fields.Field(name)
+	l := routing.Line{Class: o.Class, Key: o.Key, Group: o.Group, Zone: p.set.Zone, Listener: f.listener, Fields: fields[:0]}
+	if o.Fields != nil {
+		l.Fields = slices.Grow(l.Fields, len(table.FieldNames))
+		for _, name := range table.FieldNames {
+			text, _ := o.Fields.Field(name)
+			l.Fields = append(l.Fields, text)
 		}
 	}
 	return l
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,6 +42,8 @@
 	log      *logging.Logger
 	count    counters.Counters
 
+	fleet *member // nil: the file alone has the rules
+
 	news    []news // for the modules
 	turning bool
 
@@ -118,7 +120,7 @@
 		return nil, err
 	}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation, Named: len(c.Known.Instances) > 0,
-		Heard: p.hearList, Failed: p.listFailed}
+		Heard: p.hearList, Failed: p.listFailed, Noted: func(err error) { p.log.Warn(err.Error()) }, Seed: c.Seed}
 	p.memoryMB = c.MemoryMB
 	p.limitMemory()
 	inherited, will, link := p.inherit(c)
@@ -143,7 +145,9 @@
 	p.nameFigures()
 	p.begin(c, will)
 	p.sweep()
+	p.enlist(c) // before the old process hears that this one serves
 	p.descend(link, will)
+	p.leaveToElder()
 	p.offerPlace()
 	return p, nil
 }
@@ -201,9 +205,9 @@
 	p.count.Print(w)
 }
 
-// Reload takes a configuration read again: the settings, where discovery is, and how many descriptors may be open, all
-// in one turn. All else is for the life of the process. It may be called from any goroutine while the proxy runs, as
-// may Refused.
+// Reload takes a configuration read again: the settings and routes, where discovery and the keepers are, and how many
+// descriptors may be open, all in one turn. All else is for the life of the process. Once a version of the fleet's is in
+// force, its settings and routes stay. It may be called from any goroutine while the proxy runs, as may Refused.
 func (p *Proxy) Reload(c *config.Config) error {
 	return p.loop.Post(func() {
 		if err := c.Settings.Check(); err != nil { // the file was checked before
@@ -212,24 +216,43 @@
 			return
 		}
 		p.count.Reloads++
-		for _, old := range p.set.Classes {
-			p.dropped[old.Name] = old
-		}
-		p.set, p.delays, p.sockets, p.memoryMB = c.Settings, c.LoadIsDelay, c.Sockets, c.MemoryMB
+		p.sockets, p.memoryMB = c.Sockets, c.MemoryMB
 		p.limitMemory()
-		for _, class := range p.set.Classes {
-			delete(p.dropped, class.Name)
+		switch {
+		case (p.fleet == nil) != (c.Fleet == nil):
+			p.say("the fleet record comes and goes at a restart or an upgrade")
+		case p.fleet != nil:
+			p.fleet.reload(c.Fleet)
 		}
-		p.nameFigures()
-		if !maps.Equal(c.Routes.Set.Listeners, p.table.Set.Listeners) {
-			p.say("further listeners change at a restart or an upgrade")
+		if p.fleet != nil && p.fleet.holds() {
+			set := p.set
+			set.Zone, set.Self = c.Settings.Zone, c.Settings.Self // this node's own in any version
+			p.adopt(set, p.delays, p.table)
+			p.say("settings and routes stay those of the fleet's version")
+		} else {
+			p.adopt(c.Settings, c.LoadIsDelay, c.Routes)
 		}
-		p.reconfigure(c.Routes)
 		p.say("configuration read again: discovery at " + c.Discovery)
 		p.registry.Move(c.Discovery)
 	})
 }
 
+// adopt puts settings and routes in force: a file's, or a version's of the fleet.
+func (p *Proxy) adopt(set micafront.Settings, loadIsDelay bool, table *routing.Table) {
+	for _, old := range p.set.Classes {
+		p.dropped[old.Name] = old
+	}
+	p.set, p.delays = set, loadIsDelay
+	for _, class := range p.set.Classes {
+		delete(p.dropped, class.Name)
+	}
+	p.nameFigures()
+	if !maps.Equal(table.Set.Listeners, p.table.Set.Listeners) {
+		p.say("further listeners change at a restart or an upgrade")
+	}
+	p.reconfigure(table)
+}
+
 // reconfigure takes the settings in force, and the routes, to the modules.
 func (p *Proxy) reconfigure(table *routing.Table) {
 	now := p.loop.Now()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -32,7 +32,7 @@
 	} else {
 		p.tell(f.pool, micafront.First{ID: f.id, Server: a.hop.id, Attempt: a.no, Latency: p.loop.Now() - a.sentAt})
 	}
-	f.opening, f.stuck = nil, 0
+	f.opening, f.table, f.stuck = nil, nil, 0 // a table that is no longer in force must not live as long as its connections
 	if f.in != nil {
 		early := f.in
 		f.in = nil
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -41,6 +41,12 @@
 		p.book(a, micafront.Moot)
 		return
 	}
+	if after, ok := p.permitted(f, false); !ok {
+		a.over = true
+		p.withhold(f, after)
+		p.book(a, micafront.Moot)
+		return
+	}
 	f.attempt = a
 	a.dial()
 }
@@ -72,6 +78,11 @@
 func (a *attempt) Opened() {
 	p := a.f.p
 	a.up = true
+	if after, ok := p.permitted(a.f, true); !ok { // the rules may have changed, or a lease ended, since it was dialled
+		p.withhold(a.f, after)
+		a.end(micafront.Moot)
+		return
+	}
 	p.loop.Cancel(a.limit)
 	left := a.until - p.loop.Now()
 	a.limit = p.loop.After(left, a.expired)
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -296,7 +296,7 @@
 	if p.beating = p.elder != nil || p.heir != nil; !p.beating {
 		return
 	}
-	p.tellKin(beat{Open: p.loop.Open(), Serving: true})
+	p.tellKin(beat{Open: p.loop.Open(), Serving: !p.starting()})
 	now := p.loop.Now()
 	if k := p.heir; k != nil && now-k.heardAt > lostAfter {
 		k.conn.Close()
@@ -529,6 +529,10 @@
 	switch {
 	case p.elder == k:
 		p.elder = nil
+		if p.fleet != nil && p.fleet.resting {
+			p.fleet.resting = false
+			p.rest(false) // who comes hears at least when to come again
+		}
 	case p.heir == k:
 		p.heir = nil
 		p.say("the successor has gone, this process goes on")
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -138,7 +138,7 @@
 			return
 		}
 		f.pings++
-		f.client.Write(p.protocol.Ready(!p.drained))
+		f.client.Write(p.protocol.Ready(!p.drained && !p.starting()))
 	}
 }
 
@@ -164,6 +164,11 @@
 	elsewhere := o.MidFlow || o.Standing != "" // such a connection comes with the id that it has
 	_, known := p.classOf(o)
 	switch other := p.ids[o.ID]; {
+	case !known && p.starting(): // the fleet's rules may know it; the file's are not in force
+		p.fleet.count.RefusedHeld++
+		f.in = nil
+		f.endClient(p.protocol.Defer(min(noRoomAfter, p.set.Limits.MaxRetryAfter)))
+		return
 	case !known:
 		p.count.UnknownClass++
 	case (other != nil || p.openThere(o.ID)) && !elsewhere:
