Unify the services of federated meshes into one catalog, whose names do not flap

Need: meshes publish services under names of their own; every proxy must resolve a name alike, whatever arrives in which order. Change: internal/catalog: Unify (one service with several homes, collisions with qualified names, rulings, tombstones, quarantine, limits, aliases, re-exports), Bind (services into pools and fallbacks), Resolve and Why.

--- a/internal/catalog/offers.go
+++ b/internal/catalog/offers.go
@@ -18,14 +18,27 @@
 	// Bind replaces services that routes name ("service:NAME" in place of a pool) by pools, as the state resolves them
 	// for proxies of a zone; the set is not changed. A name that is not held is an error that names route and service.
 	Bind(set routing.Set, s *State, zone string) (routing.Set, error)
+	// BindFor is Bind for the proxies of a mesh, which use just the homes that their mesh imports; "": all homes.
+	BindFor(set routing.Set, s *State, zone, mesh string) (routing.Set, error)
 }
 
-// Resolving is what a State offers to a running proxy. It costs no allocation.
+// Resolving is what a State offers to a running proxy. Apart from Why, it costs no allocation.
 type Resolving interface {
+	// Resolve gives what a name means, for a further name the service behind it; not ok where it means nothing, which is
+	// so in quarantine too. What it gives is not to be changed.
 	Resolve(name string) (*Entry, bool)
+	// ResolveFor is Resolve for a mesh, which must see one of the homes at least; "": any mesh.
+	ResolveFor(mesh, name string) (*Entry, bool)
+	// Sees reports whether a mesh imports a home of an entry, or has it itself; mesh "": any mesh.
+	Sees(mesh string, e *Entry, h *Home) bool
 	Why(name string) string // why a name resolves as it does, in words, for staff
 }
 
+var (
+	_ Unifying  = Rules{}
+	_ Resolving = (*State)(nil)
+)
+
 // Inputs are all that is known: the latest of each mesh, staff's rulings, and which meshes are lost.
 type Inputs struct {
 	Meshes       []Mesh        // terms of the federation, from staff
@@ -117,25 +130,47 @@
 
 // Entry is what a name means: one service with its homes.
 type Entry struct {
-	Name     string  `json:"name"`
-	Owner    string  `json:"owner"`
-	Contract string  `json:"contract"`
-	Homes    []Home  `json:"homes"`              // in the order of their meshes' names
-	Since    uint64  `json:"since"`              // the state's number in which the holder got the name
-	Standing string  `json:"standing"`           // held, tombstone, quarantine, draining
-	Until    int64   `json:"until_us,omitempty"` // when the standing ends, in agreed microseconds; 0: it does not by itself
-	Alias    string  `json:"alias_of,omitempty"` // the name that this is a further name of
-	Cause    string  `json:"cause"`              // why this holder: ruling, earlier holder, export precedence, sole, qualified
-	Rivals   []Rival `json:"rivals,omitempty"`   // who else claimed it, and under which name they are known now
+	Name     string   `json:"name"`
+	Owner    string   `json:"owner"`
+	Contract string   `json:"contract"`
+	Homes    []Home   `json:"homes,omitempty"`    // in the order of their meshes' names; of a further name: none
+	Since    uint64   `json:"since"`              // the state's number in which the holder got the name
+	Standing string   `json:"standing"`           // held, tombstone, quarantine, draining
+	Until    int64    `json:"until_us,omitempty"` // when the standing ends, in agreed microseconds; 0: it does not by itself
+	Alias    string   `json:"alias_of,omitempty"` // the name that this is a further name of
+	By       []string `json:"by,omitempty"`       // the meshes that publish a further name, in order
+	Ended    bool     `json:"ended,omitempty"`    // its publishers have ended it; where not, they are silent at most
+	Cause    string   `json:"cause"`              // why this holder: one of the causes below
+	Rivals   []Rival  `json:"rivals,omitempty"`   // who else claimed it, and under which name they are known now
 }
 
+// Standings of a name, and causes for its holder.
+const (
+	Held        = "held"
+	Draining    = "draining"   // all homes that are heard of are withdrawn and serve until their times
+	Buried      = "tombstone"  // lost or ended; it still means what it meant
+	Quarantined = "quarantine" // it means nothing
+
+	ByRuling     = "ruling"
+	ByHolding    = "earlier holder" // others would go first, had it been free
+	ByPrecedence = "export precedence"
+	ByMesh       = "mesh name"
+	ByOwner      = "owner"
+	BySole       = "sole"
+	ByQualified  = "qualified"
+)
+
 // Home is where a service is at home.
 type Home struct {
 	Mesh    string        `json:"mesh"`
 	Zones   []string      `json:"zones,omitempty"`
+	Class   string        `json:"class,omitempty"`
+	Aim     time.Duration `json:"aim,omitempty"`
 	Spare   float64       `json:"spare,omitempty"`
-	Pool    routing.Pool  `json:"pool"` // its name is qualified by the mesh
-	Lost    bool          `json:"lost,omitempty"`
+	Pool    routing.Pool  `json:"pool"` // its name is the service's, qualified by the mesh
+	Origin  string        `json:"origin,omitempty"`
+	Via     []string      `json:"via,omitempty"`
+	Lost    bool          `json:"lost,omitempty"` // the mesh is silent, or has left the federation
 	DrainBy time.Duration `json:"drain_by,omitempty"`
 }
 
@@ -143,14 +178,27 @@
 type Rival struct {
 	Mesh  string `json:"mesh"`
 	Owner string `json:"owner"`
-	As    string `json:"as"` // its qualified name
+	As    string `json:"as"` // its qualified name; "": it has none until a former holder's times are over
 }
 
-// State is the unified catalog, as it is part of a version.
+// State is the unified catalog, as it is part of a version. It is not changed once made.
 type State struct {
-	Number  uint64        `json:"number"`
-	At      time.Duration `json:"at"`
-	Entries []Entry       `json:"entries"` // by name
+	Number  uint64        `json:"number"`           // goes up by one with every change
+	At      time.Duration `json:"at"`               // of the last change
+	Entries []Entry       `json:"entries"`          // by name
+	Meshes  []Taken       `json:"meshes,omitempty"` // by name
+
+	index map[string]int32 // made by Index; not part of the text
+}
 
-	index map[string]int // made by Index; not part of the text
+// Taken is what a state remembers of a mesh: the publication that it goes by, so that an older one never undoes it, and
+// what the mesh imports, so that its proxies resolve by it.
+type Taken struct {
+	Mesh   string   `json:"mesh"`
+	Epoch  uint64   `json:"epoch,omitempty"`
+	Seq    uint64   `json:"seq,omitempty"`
+	Digest string   `json:"digest,omitempty"` // of the publication; "": none was taken yet
+	Import []Import `json:"import,omitempty"`
+	Lost   bool     `json:"lost,omitempty"`     // it is silent, or has left the federation
+	Since  int64    `json:"since_us,omitempty"` // when it was lost, in agreed microseconds
 }
