Play many real processes against each other, with faults on every link between them

Need: what the fleet promises must be shown by processes, with dropped links, delays, one-way cuts, crashes and pauses.

--- a/internal/faultnet/offers.go
+++ b/internal/faultnet/offers.go
@@ -9,13 +9,19 @@
 type Injecting interface {
 	// Link opens a relay to a target and gives its name and address; clients of the target are told the address.
 	Link(name, target string) (Link, error)
-	// Set puts a fault on all links whose name matches the pattern (path.Match); it replaces the one of that kind.
+	// Set puts a fault on all links whose name matches the pattern (path.Match); it replaces the one of that kind,
+	// direction and connection. Where several of a kind meet a connection, the one for that connection counts, then the
+	// one for that direction. Bytes that are not passed on yet meet it.
 	Set(pattern string, f Fault) error
-	// Clear takes faults of a kind off them; kind "": all.
+	// Clear takes faults of a kind off them; kind "": all. What a Mute swallowed stays lost: a connection that lost
+	// bytes or an end is reset then, like one to a host that is back and knows nothing of it; all others go on.
 	Clear(pattern string, kind Kind) error
 	// Play carries out a schedule and returns when its last step is done or the context of Net is over.
 	Play(steps []Step) error
 	Log() []Done // what was done so far, in the order of link, connection, direction and byte
+	// Tap has all that comes into matching links told, before any fault meets it. It counts for new connections. hear is
+	// called by many at a time, and must not keep the data.
+	Tap(pattern string, hear func(Piece)) error
 	Close()
 }
 
@@ -32,8 +38,8 @@
 
 const (
 	Delay   Kind = "delay"    // each chunk goes on For later, in order, Jitter more at most
-	Mute    Kind = "mute"     // bytes are swallowed, the connection stays open; new ones are accepted and stay mute
-	Refuse  Kind = "refuse"   // new connections are refused
+	Mute    Kind = "mute"     // bytes and ends are swallowed, the connection stays open; new ones are accepted and stay mute
+	Refuse  Kind = "refuse"   // new connections are refused by the system, since nobody listens at the port
 	Reset   Kind = "reset"    // connections are reset, at byte At of the direction, or at once
 	HalfEnd Kind = "half-end" // the direction ends at byte At, in mid-line if it lies there; the other one goes on
 	Rate    Kind = "rate"     // BytesPerSecond
@@ -79,3 +85,15 @@
 	Byte       int64     `json:"byte"`
 	Kind       Kind      `json:"kind"`
 }
+
+// Piece is bytes as they came into a link.
+type Piece struct {
+	Link       string
+	Connection int
+	Direction  Direction
+	Byte       int64 // place of the first one in the direction
+	// At is when the system took them from their sender, however late this process came to read them. It can be compared
+	// with other times of this process.
+	At   time.Time
+	Data []byte
+}
--- /dev/null
+++ b/internal/fleettest/build.go
@@ -0,0 +1,35 @@
+package fleettest
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// RaceEnv has the programs built with the race detector where it is set.
+const RaceEnv = "FLEETTEST_RACE"
+
+// Build builds programs of this module, by the names of their folders in cmd, into a folder, and gives their paths. It
+// must be called within the module's tree.
+func Build(into string, names ...string) (map[string]string, error) {
+	root, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}").Output()
+	if err != nil {
+		return nil, fmt.Errorf("go list: %w", err)
+	}
+	out := map[string]string{}
+	for _, name := range names {
+		out[name] = filepath.Join(into, name)
+		args := []string{"build", "-o", out[name]}
+		if os.Getenv(RaceEnv) != "" {
+			args = append(args, "-race")
+		}
+		cmd := exec.Command("go", append(args, "./cmd/"+name)...)
+		cmd.Dir = strings.TrimSpace(string(root))
+		if text, err := cmd.CombinedOutput(); err != nil {
+			return nil, fmt.Errorf("go build %s: %w\n%s", name, err, text)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/fleettest/discovery.go
@@ -0,0 +1,169 @@
+package fleettest
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/micafront/internal/standin"
+)
+
+// discovery is a stand-in registry that takes so many calls a second from all proxies together and turns the rest away
+// with 503. Each proxy has a view of its own, in which next hops have the addresses of that proxy's links.
+type discovery struct {
+	rate float64 // calls a second; 0: any number
+
+	mu       sync.Mutex
+	registry *standin.Registry
+	entries  []standin.Entry
+	room     float64
+	filled   time.Time
+	calls    int
+	away     int
+	busiest  int // calls that came within one second
+	second   int64
+	inSecond int
+	views    []*http.Server
+}
+
+func newDiscovery(rate float64) (*discovery, error) {
+	d := &discovery{rate: rate, room: max(rate, 1), filled: time.Now()}
+	var err error
+	d.registry, err = standin.NewRegistry()
+	return d, err
+}
+
+// set lists a next hop, or changes it.
+func (d *discovery) set(e standin.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = append(slices.DeleteFunc(d.entries, func(o standin.Entry) bool { return o.ID == e.ID }), e)
+	d.registry.Set(e)
+}
+
+// restart has a new registry in place of the old one, whose watches end. Its generations begin anew.
+func (d *discovery) restart() error {
+	next, err := standin.NewRegistry()
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	old := d.registry
+	for _, e := range d.entries {
+		next.Set(e)
+	}
+	d.registry = next
+	d.mu.Unlock()
+	old.Close()
+	return nil
+}
+
+func (d *discovery) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Close()
+	for _, v := range d.views {
+		v.Close()
+	}
+}
+
+// take says whether there is room for a call, and where the registry is.
+func (d *discovery) take() (addr string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.calls++
+	if s := now.Unix(); s != d.second {
+		d.second, d.inSecond = s, 0
+	}
+	d.inSecond++
+	d.busiest = max(d.busiest, d.inSecond)
+	d.room = min(d.room+now.Sub(d.filled).Seconds()*d.rate, max(d.rate, 1))
+	d.filled = now
+	if d.rate > 0 {
+		if d.room < 1 {
+			d.away++
+			return "", false
+		}
+		d.room--
+	}
+	return d.registry.Addr, true
+}
+
+// view listens for one proxy, to which the next hops are at other addresses.
+func (d *discovery) view(at func(id string) string) (addr string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { d.serve(w, q, at) })}
+	d.mu.Lock()
+	d.views = append(d.views, srv)
+	d.mu.Unlock()
+	go srv.Serve(l)
+	return l.Addr().String(), nil
+}
+
+func (d *discovery) serve(w http.ResponseWriter, q *http.Request, at func(string) string) {
+	addr, ok := d.take()
+	if !ok {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	ask, err := http.NewRequestWithContext(q.Context(), http.MethodGet, "http://"+addr+q.URL.RequestURI(), nil)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer, err := http.DefaultClient.Do(ask)
+	if err != nil { // it restarts
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer answer.Body.Close()
+	w.WriteHeader(answer.StatusCode)
+	for in := bufio.NewReader(answer.Body); ; {
+		l, err := in.ReadBytes('\n')
+		if len(bytes.TrimSpace(l)) > 0 {
+			var bad error
+			if l, bad = renamed(l, at); bad != nil {
+				return
+			}
+		}
+		if _, werr := w.Write(l); werr != nil || err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+	}
+}
+
+// known is the list as it is now, as one view has it.
+func (d *discovery) known(at func(string) string) (json.RawMessage, error) {
+	d.mu.Lock()
+	list := d.registry.List()
+	d.mu.Unlock()
+	return renamed([]byte(list), at)
+}
+
+// renamed changes the addresses of a list.
+func renamed(list []byte, at func(string) string) ([]byte, error) {
+	var l struct {
+		Generation int              `json:"generation"`
+		Reset      bool             `json:"reset"`
+		Instances  []map[string]any `json:"instances"`
+	}
+	if err := json.Unmarshal(list, &l); err != nil {
+		return nil, fmt.Errorf("the registry's list: %w", err)
+	}
+	for _, e := range l.Instances {
+		e["hostPort"] = at(e["instanceId"].(string))
+	}
+	out, err := json.Marshal(l)
+	return append(out, '\n'), err
+}
