List every kind of error with its remedy for whoever is on call

Need: each error says what an operator can do, and the page must not go stale. Change: a table in ON-CALL, compared both ways by a test that also looks for kinds of packages it does not import.

--- /dev/null
+++ b/internal/remedy/oncall/oncall_test.go
@@ -0,0 +1,92 @@
+// Package oncall has no code: its test holds the page for staff against the kinds of errors that the programs make.
+package oncall
+
+import (
+	"flag"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"example.org/micafront/internal/remedy"
+	. "example.org/micafront/internal/testkit"
+
+	// All that make kinds.
+	_ "example.org/micafront/internal/agreement"
+	_ "example.org/micafront/internal/catalog"
+	_ "example.org/micafront/internal/config"
+	_ "example.org/micafront/internal/faultnet"
+	_ "example.org/micafront/internal/handover"
+	_ "example.org/micafront/internal/keeper"
+	_ "example.org/micafront/internal/keeperlink"
+	_ "example.org/micafront/internal/proxy"
+	_ "example.org/micafront/internal/quorum"
+	_ "example.org/micafront/internal/registry"
+	_ "example.org/micafront/internal/routing"
+)
+
+const (
+	root  = "../../.."
+	page  = root + "/docs/ON-CALL.md"
+	begin = "<!-- written by: go test ./internal/remedy/oncall -update -->\n"
+	end   = "<!-- to here -->\n"
+)
+
+var update = flag.Bool("update", false, "write the table of errors into "+page)
+
+// The page lists each kind of error with its remedy, and no others.
+func TestPageListsAllKinds(t *testing.T) {
+	var table strings.Builder
+	table.WriteString("| kind | what can be done |\n| --- | --- |\n")
+	for _, k := range remedy.Kinds() {
+		fmt.Fprintf(&table, "| `%s` | %s |\n", k.Name, strings.ReplaceAll(k.Remedy, "|", "\\|"))
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, opened := strings.Cut(string(text), begin)
+	got, after, closed := strings.Cut(rest, end)
+	if !opened || !closed {
+		t.Fatalf("%s has no place for the table: it goes between %q and %q", page, begin, end)
+	}
+	if *update && got != table.String() {
+		if err := os.WriteFile(page, []byte(before+begin+table.String()+end+after), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	Equal(t, "the table; go test ./internal/remedy/oncall -update writes it anew", strings.Split(table.String(), "\n"), strings.Split(got, "\n"))
+}
+
+var made = regexp.MustCompile(`remedy\.NewKind\(\s*"([^"]+)"`)
+
+// No source makes a kind that this test does not know, as one of a package that is not imported above.
+func TestAllKindsAreImported(t *testing.T) {
+	known, found := map[string]bool{}, 0
+	for _, k := range remedy.Kinds() {
+		known[k.Name] = true
+		if family, _, ok := strings.Cut(k.Name, "/"); !ok || family == "" || len(k.Remedy) < 12 {
+			t.Errorf("kind %q, %q: it has no family, or its remedy is no act", k.Name, k.Remedy)
+		}
+	}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range made.FindAllSubmatch(text, -1) {
+			if found++; !known[string(m[1])] {
+				t.Errorf("%s makes the kind %s: import its package here", path, m[1])
+			}
+		}
+		return err
+	})
+	Equal(t, "walk", nil, err)
+	if found != len(known) {
+		t.Errorf("%d kinds are made in sources, %d are known", found, len(known))
+	}
+}
