Let slots' owners follow from the list alone, so that restarted proxies agree at once

Logs of all 273 proxies say why: pairs of group and next hop, each as heavy as three connections, grow from 632 to 1,715 on the same 3,700 clients. The cause: 'took its own first place' while a group of a zone had 3.0 first places over the proxies within 5 s. Change: a slot belongs to the server with the strongest claim on it (weighted rendezvous), in place of append and vacate; the number of slots stays at 2,048 up to 128 servers, so histories hardly ever differ. The walk over counts is as it was.

--- a/example_test.go
+++ b/example_test.go
@@ -43,9 +43,9 @@
 	place("5", "bruno")
 
 	// Output:
-	// anna goes to c:1
+	// anna goes to b:1
 	// bruno goes to a:1
-	// anna goes to c:1
-	// anna goes to c:1
+	// anna goes to b:1
+	// anna goes to b:1
 	// bruno goes to d:1
 }
--- a/plastic.go
+++ b/plastic.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -26,15 +27,18 @@
 	return int(at)
 }
 
-// slotsPerServer is how many slots a server of mean Size owns. Shares are then right to about 3%.
-const slotsPerServer = 16
+// slotsPerServer is how many slots a server has at least, in the mean. There are leastSlots in all, more beyond 128 servers:
+// their number hardly ever changes, so that the history, which a node that starts in mid-change cannot know, hardly ever
+// tells nodes apart.
+const slotsPerServer, leastSlots = 16, 2048
 
 // table is the history of slot counts and the slots' owners.
 type table struct {
-	counts []int
-	owner  []*server
-	unit   float64 // Size that earns one slot, fixed between snaps so that shares do not drift
-	before *table  // as it was before its latest changes, if it is kept
+	counts  []int
+	owner   []*server
+	unit    float64 // Size that earns one slot
+	servers int     // that own some
+	before  *table  // as it was before its latest changes, if it is kept
 }
 
 func (t *table) lookup(id uint64) *server {
@@ -44,96 +48,83 @@
 	return t.owner[walk(id, t.counts)]
 }
 
-func (t *table) slotsFor(s *server) int {
-	// 8 times the mean is where one server's weight would make the fleet depend on it
-	return min(max(int(s.size/t.unit+0.5), 1), 8*slotsPerServer)
-}
-
-// spread orders the slots of several servers so that each server's are strewn over the whole range: what a
-// leaver vacates is then taken over by many servers, not by one that would carry twice its share.
-func (t *table) spread(servers []*server) []*server {
-	type slot struct {
-		at float64
-		s  *server
-	}
-	var slots []slot
-	for _, s := range servers {
-		n := t.slotsFor(s)
-		for k := range n {
-			slots = append(slots, slot{(float64(k) + keys.Chance(uint64(k), s.hash)) / float64(n), s})
-		}
-	}
-	slices.SortFunc(slots, func(a, b slot) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.s.id, b.s.id))
-	})
-	out := make([]*server, len(slots))
-	for i, sl := range slots {
-		out[i] = sl.s
-	}
-	return out
-}
-
-// snap forgets the history and rebuilds the table from sorted ids, so that lagging or restarted nodes
-// converge.
+// snap forgets the history.
 func (t *table) snap(ready []*server) {
-	sum := 0.0
-	for _, s := range ready {
-		sum += s.size
-	}
-	*t = table{unit: max(sum/float64(max(len(ready), 1))/slotsPerServer, 1e-9), before: t.before}
-	if t.owner = t.spread(ready); len(t.owner) > 0 {
-		t.counts = []int{len(t.owner)}
+	t.follow(ready)
+	if n := len(t.owner); n > 0 {
+		t.counts = []int{n}
 	}
 }
 
-// follow brings the table up to a list, and tells whether that added to its history.
+// follow brings the table up to a list, and tells whether that changed it. A slot is the server's with the strongest
+// claim on it, so the owners follow from the list alone: joiners take slots, of all others evenly, and keep them;
+// leavers' slots go to all others evenly; and nodes whose lists are alike agree, whatever came before. Where each node
+// had a history of its own, as when many restart during a release, a group was strewn over the places of all tables.
 func (t *table) follow(ready []*server) bool {
-	was, joined := map[*server]bool{}, []*server(nil)
+	left, joined := map[*server]bool{}, []*server(nil)
 	for _, s := range t.owner {
-		was[s] = true
+		left[s] = true
 	}
+	sum := 0.0
 	for _, s := range ready {
-		if !was[s] {
+		if sum += s.size; !left[s] {
 			joined = append(joined, s)
 		}
-		delete(was, s)
-	}
-	if len(t.owner) == 0 {
-		t.snap(ready)
-		return false
+		delete(left, s)
 	}
-	if len(joined)+len(was) == 0 {
+	if len(joined)+len(left) == 0 {
 		return false
 	}
-	t.advance(joined, was)
-	return true
-}
-
-// advance ends an epoch: joiners are appended, then vacated ordinals, lowest first, take the slots of highest
-// ordinal, and the new count joins the history.
-func (t *table) advance(joined []*server, left map[*server]bool) {
-	t.owner = append(t.owner, t.spread(joined)...)
 	n := 0
-	for _, s := range t.owner {
-		if !left[s] {
-			n++
+	if len(ready) > 0 {
+		for n = leastSlots; n < slotsPerServer*len(ready); {
+			n *= 2
 		}
 	}
-	top := len(t.owner) - 1
-	for i := range n {
-		if !left[t.owner[i]] {
-			continue
-		}
-		for left[t.owner[top]] {
-			top--
+	fresh := n != len(t.owner)
+	if fresh {
+		t.owner = make([]*server, n)
+	}
+	for i, s := range t.owner {
+		if fresh || left[s] {
+			t.owner[i] = strongest(i, nil, ready)
+		} else {
+			t.owner[i] = strongest(i, s, joined)
 		}
-		t.owner[i] = t.owner[top]
-		top--
 	}
-	t.owner = t.owner[:n]
-	if n > 0 {
+	t.servers, t.unit = len(ready), max(sum/float64(max(n, 1)), 1e-9)
+	switch {
+	case n == 0:
+		t.counts = nil
+	case len(t.counts) == 0:
+		t.counts = []int{n}
+	default:
 		t.counts = compact(t.counts, n)
 	}
+	return true
+}
+
+// strongest gives whichever has the strongest claim on a slot, the one that holds it or one of those who claim it, by
+// weighted rendezvous (Schindelhauer, Schomaker 2005): an exponential draw by Size, the least of which wins.
+func strongest(slot int, holder *server, claim []*server) *server {
+	key := keys.Scramble(uint64(slot) + 1)
+	draw := func(s *server) (at, least float64) {
+		at = keys.Chance(key, s.hash)
+		return at, at / s.size // no more than the draw itself
+	}
+	best := math.Inf(1)
+	if holder != nil {
+		at, _ := draw(holder)
+		best = -math.Log1p(-at) / holder.size
+	}
+	for _, s := range claim {
+		if at, least := draw(s); least < best {
+			if d := -math.Log1p(-at) / s.size; d < best {
+				holder, best = s, d
+			}
+		}
+	}
+	return holder
 }
 
 // compact appends a count and springs back over the entries between it and the base, as the paper suggests. A
@@ -202,7 +193,7 @@
 	}
 	b.formerAt = b.now
 	for _, t := range append(slices.Collect(maps.Values(b.zoned)), &b.table) {
-		t.before = &table{counts: slices.Clone(t.counts), owner: slices.Clone(t.owner), unit: t.unit}
+		t.before = &table{counts: slices.Clone(t.counts), owner: slices.Clone(t.owner), unit: t.unit, servers: t.servers}
 	}
 }
 
@@ -242,11 +233,10 @@
 // parts as servers' worths of traffic it has, and each part walks with an id of its own. The client's part
 // follows the paper's walk too, so that it rarely changes while the number of parts grows.
 func (b *Balancer) part(group, client uint64) uint64 {
-	owners := len(b.home.owner)
-	if owners == 0 {
-		owners = len(b.table.owner)
+	servers := float64(max(b.home.servers, 1))
+	if b.home.servers == 0 {
+		servers = float64(max(b.table.servers, 1))
 	}
-	servers := max(float64(owners)/slotsPerServer, 1)
 	worth := min(b.crowd.Share(group, servers), 1) * servers
 	if worth < 2 {
 		return group
--- a/snapshot.go
+++ b/snapshot.go
@@ -352,7 +352,7 @@
 }
 
 func (r *restorer) table(t TableState) (*table, error) {
-	out := &table{counts: slices.Clone(t.Counts), unit: t.Unit}
+	out := &table{counts: slices.Clone(t.Counts), unit: t.Unit, servers: distinct(t.Owner)}
 	if t.Before != nil {
 		before, err := r.table(*t.Before)
 		if err != nil {
