Wait no longer for a proxy that is heard but hears nothing than for a silent one

Seen: with only its grants lost (a one-way cut) a proxy held a version up until the cut healed, since the leader counted silence from when a member was last heard (warden.go, silent and word). Change: what a member can count on rests on the grants that it took; each renewal says which was the last (Unanswered), and no earlier question's grant is taken later. From the last quarter of Know on a member that takes none is given one in each Know. Status tells who is deaf.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -78,6 +78,9 @@
 	Seq         uint64 `json:"seq"`         // of this question, so that an answer is told from an earlier one's
 	InForce     uint64 `json:"in_force"`    // the version that it acts on; 0: none yet
 	Prepared    uint64 `json:"prepared"`    // the next one that it can switch to; 0: none
+	// Unanswered is the Seq of the first question since the latest grant that it took, Seq itself where it took the
+	// last one's. So a keeper learns which of its grants arrive. 0: not told.
+	Unanswered uint64 `json:"unanswered,omitempty"`
 	// Refusal is why it cannot prepare the proposed version Refused; nil: it can, or has not tried.
 	Refused uint64   `json:"refused,omitempty"`
 	Refusal *Refusal `json:"refusal,omitempty"`
--- a/internal/agreement/follower.go
+++ b/internal/agreement/follower.go
@@ -38,7 +38,8 @@
 	askedAt  time.Duration
 	deadline time.Duration
 	nextAsk  time.Duration
-	tries    int // that failed in a row
+	tries    int    // that failed in a row
+	answered uint64 // the question whose grant was taken last
 
 	granted  bool  // a grant was taken
 	grant    Grant // the latest one taken
@@ -154,7 +155,7 @@
 		f.failed(now)
 		return nil
 	}
-	f.asking, f.tries = false, 0
+	f.asking, f.tries, f.answered = false, 0, g.Seq
 	f.nextAsk = max(now, f.askedAt+f.interval())
 	if f.leaving {
 		f.left = f.saidSo
@@ -282,8 +283,8 @@
 	f.again, f.asking, f.saidSo = false, true, f.leaving
 	f.seq++
 	f.askedAt, f.deadline = now, now+2*f.patience() // the caller tells sooner; this is in case that it does not
-	r := Renewal{Node: f.node, Incarnation: f.incarnation, Seq: f.seq, InForce: f.inForce, Prepared: f.prepared, Room: f.room,
-		Leaving: f.leaving}
+	r := Renewal{Node: f.node, Incarnation: f.incarnation, Seq: f.seq, InForce: f.inForce, Prepared: f.prepared,
+		Unanswered: f.answered + 1, Room: f.room, Leaving: f.leaving}
 	for _, n := range []uint64{f.grant.Active, f.grant.Proposed} { // the one that waits counts more
 		if refusal, ok := f.refused[n]; ok {
 			r.Refused, r.Refusal = n, &refusal
--- a/internal/agreement/offers.go
+++ b/internal/agreement/offers.go
@@ -106,7 +106,7 @@
 	Hear(now time.Duration, r Renewal) (due []Command)
 	// Grant answers a renewal that was heard, once a quorum has confirmed after the question came that this keeper
 	// leads, and all that was committed until then is applied. Not ok: the node has yet to join, or a later
-	// incarnation has, or a decision under way passes it over; it then gets no answer.
+	// incarnation has, or a decision passes it over; it then gets no answer.
 	Grant(now time.Duration, r Renewal) (g Grant, ok bool)
 	// Due are the commands that time or what was heard makes due: to activate the proposal, to withdraw it, to part
 	// with members that have been silent for long. It may be asked at any time and repeats itself until they apply.
@@ -122,6 +122,7 @@
 	Renewal
 	Heard   time.Duration `json:"heard"`    // ago
 	Silent  bool          `json:"silent"`   // for Know, or not heard since this keeper began to lead
+	Deaf    bool          `json:"deaf"`     // heard, and by its word none of this keeper's grants has arrived for Within
 	HoldsUp bool          `json:"holds_up"` // the proposal waits for it
 }
 
--- a/internal/agreement/warden.go
+++ b/internal/agreement/warden.go
@@ -12,6 +12,10 @@
 //
 // A decision that passes a node over (an activation without its word, a parting) holds from when it is given out until
 // it is applied, and the node gets no grant in between: a grant would let it count on the version in force for Know.
+//
+// What a node counts on rests on the grants that it took, not on its having been heard: the node whose questions arrive
+// while its grants are lost is waited for no longer than a silent one. A renewal says which grant was taken last, and no
+// earlier question's is taken after it was sent. So what may count is that grant, and one given since.
 type Warden struct {
 	book  Keeping
 	leads bool
@@ -34,7 +38,36 @@
 // heard is what a process has told this leader. Renewal is of the highest Seq, since questions may pass one another.
 type heard struct {
 	Renewal
-	at time.Duration
+	at    time.Duration
+	basis time.Duration // when the latest grant was given that it is known to have taken; from this leader's election on
+	tried time.Duration // when the latest grant was given
+	seq   uint64        // of the question that it answers
+	open  bool          // it may have been taken, or may yet be
+	lost  int           // grants in a row that are known not to have been taken
+}
+
+// deafAfter is how many grants in a row are lost to a deaf process: fewer may be lost to any.
+const deafAfter = 3
+
+// learn takes from a renewal, sent after the grant that is open, whether that one was taken. One that does not tell
+// may have taken it.
+func (h *heard) learn(r Renewal) {
+	if !h.open || r.Seq <= h.seq {
+		return
+	}
+	h.open = false
+	if r.Unanswered != 0 && r.Unanswered <= h.seq {
+		h.lost++
+		return
+	}
+	h.basis, h.lost = h.tried, 0
+}
+
+// gave takes note of a grant. To a question before the latest one it is as good as none.
+func (h *heard) gave(now time.Duration, seq uint64) {
+	if seq >= h.Seq {
+		h.tried, h.seq, h.open = now, seq, true
+	}
 }
 
 var _ Wardship = (*Warden)(nil)
@@ -97,7 +130,7 @@
 		if !member && len(w.nodes) >= 2*maxMembers {
 			return nil
 		}
-		h = &heard{Renewal: Renewal{Node: r.Node, Incarnation: r.Incarnation}, at: w.lead}
+		h = &heard{Renewal: Renewal{Node: r.Node, Incarnation: r.Incarnation}, at: w.lead, basis: w.lead}
 		w.nodes[k] = h
 	}
 	if w.superseded(k) {
@@ -105,6 +138,7 @@
 		return nil
 	}
 	h.at = now
+	h.learn(r)
 	if r.Seq >= h.Seq {
 		r.Leaving = r.Leaving || h.Leaving
 		h.Renewal = r
@@ -133,6 +167,10 @@
 		if w.activating != nil && h.Prepared != w.activating.Number {
 			return Grant{}, false
 		}
+		if w.spares(now, k, h) {
+			return Grant{}, false
+		}
+		h.gave(now, r.Seq)
 	}
 	active, _ := w.book.Active()
 	g := Grant{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Term: w.term, Active: active.Number, Digest: active.Digest,
@@ -147,13 +185,30 @@
 	return g, true
 }
 
+// spares reports whether a process gets no grant so that a proposal need not wait for it: it has said nothing to that, by
+// its word the latest grants did not arrive, and patience with the one that did is about to end. Otherwise a grant might
+// always be under way, and the process could never be passed over. It is tried again once in patience, in case that it
+// hears again while the proposal waits for others; the last quarter is spared so that its word has come when patience ends.
+func (w *Warden) spares(now time.Duration, k process, h *heard) bool {
+	p, ok := w.book.Proposed()
+	if !ok || h.lost < deafAfter || h.open {
+		return false
+	}
+	patience := w.patience(now)
+	if now-h.tried > patience || 4*w.unknowing(now, h) <= 3*patience {
+		return false
+	}
+	word := w.word(now, Member{Node: k.node, Incarnation: k.incarnation}, p, patience)
+	return word == waits || word == passed
+}
+
 // settled reports whether all grants of versions before the one in force are over: they were asked for before it was
 // first seen in force.
 func (w *Warden) settled(now time.Duration, active Version) bool {
 	return now-w.since > silence(active.Longest, active.Body.Fleet.Drift)
 }
 
-// patience is how long a member must not have been heard. A grant carries the Know of the version that was active when
+// patience is how long a member must have taken no grant. A grant carries the Know of the version that was active when
 // it was given, and the node may have got none since. So the longest Know counts that may be under way: Longest, as the
 // book has followed it over leaders, until this leader has seen the version in force for so long that only its own
 // grants are left.
@@ -168,7 +223,18 @@
 	return silence(active.Longest, active.Body.Fleet.Drift)
 }
 
-// silent is since when a process has not been heard, at the earliest since this keeper leads.
+// unknowing is for how long a process has been given no grant that it may have taken, at most since this keeper leads.
+func (w *Warden) unknowing(now time.Duration, h *heard) time.Duration {
+	switch {
+	case h == nil:
+		return now - w.lead
+	case h.open:
+		return now - h.tried
+	}
+	return now - h.basis
+}
+
+// silent is for how long a process has not been heard, at most since this keeper leads.
 func (w *Warden) silent(now time.Duration, h *heard) time.Duration {
 	if h == nil {
 		return now - w.lead
@@ -189,8 +255,9 @@
 		k := process{m.Node, m.Incarnation}
 		h := w.nodes[k]
 		_, parting := w.parting[k]
-		quiet := w.silent(now, h)
-		if parting || h != nil && h.Leaving || quiet > patience && w.superseded(k) || quiet > w.partAfter*patience {
+		quiet := min(w.silent(now, h), w.unknowing(now, h))
+		if parting || h != nil && h.Leaving || w.unknowing(now, h) > patience && w.superseded(k) ||
+			quiet > w.partAfter*patience {
 			p := Part{m.Node, m.Incarnation, m.Joined}
 			w.parting[k] = p
 			due = append(due, Command{Part: &p})
@@ -241,7 +308,7 @@
 	waits word = iota
 	agrees
 	refuses
-	passed // silent or leaving: it is not waited for
+	passed // leaving, or it cannot count on a grant any more: it is not waited for
 )
 
 func (w *Warden) word(now time.Duration, m Member, p Version, patience time.Duration) word {
@@ -254,7 +321,7 @@
 		return agrees // it knows that this one may be in force from now on, whatever it hears
 	case h != nil && h.Refused == p.Number && h.Refusal != nil && !w.superseded(k):
 		return refuses
-	case w.silent(now, h) > patience:
+	case w.unknowing(now, h) > patience:
 		return passed
 	}
 	return waits
@@ -300,6 +367,8 @@
 		}
 		s.Heard = w.silent(now, h)
 		s.Silent = s.Heard > patience
+		active, _ := w.book.Active()
+		s.Deaf = !s.Silent && h != nil && h.lost >= deafAfter && now-h.basis > active.Body.Fleet.Within
 		s.HoldsUp = proposed && w.word(now, m, p, patience) == waits
 		out = append(out, s)
 	}
--- a/internal/fleettest/keepers.go
+++ b/internal/fleettest/keepers.go
@@ -203,11 +203,10 @@
 	return err
 }
 
-// HeldUp waits until a version waits for one proxy alone, or is active after all.
+// HeldUp waits until a version waits for one proxy alone.
 func (w *World) HeldUp(number uint64, by string) error {
 	_, err := w.led(fmt.Sprintf("version %d waits for %s alone", number, by), func(s status) bool {
-		return s.Active != nil && s.Active.Number >= number ||
-			s.Proposed != nil && s.Proposed.Number == number && slices.Equal(s.HoldsUp, []string{by})
+		return s.Proposed != nil && s.Proposed.Number == number && slices.Equal(s.HoldsUp, []string{by})
 	})
 	return err
 }
