Tell the fleet's rules as stories over an in-memory fleet, and explore it by seeds

Need: tests of another kind: given-when-then stories in the operators' words, and random schedules that replay.

--- /dev/null
+++ b/internal/fleetsim/keeper.go
@@ -0,0 +1,261 @@
+package fleetsim
+
+import (
+	"encoding/json"
+	"time"
+
+	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/quorum"
+)
+
+// Keeper is a keeper's process: consensus, the book and the warden, and a disk that outlasts it.
+type Keeper struct {
+	Proc
+
+	f          *Fleet
+	id         uint64
+	disk, old  quorum.Memory
+	starts     uint64
+	node       *quorum.Node
+	book       agreement.Keeping
+	warden     agreement.Wardship
+	led        uint64 // the term that the warden was told to lead in
+	questions  []question
+	joining    []question // confirmed, and not granted yet
+	confirming map[quorum.Ticket][]question
+	orders     map[quorum.Ticket]func(agreement.Answer)
+	due        map[string]time.Duration // commands that were proposed, and when
+	shipped    []uint64                 // peers that a snapshot went to
+}
+
+// question is a renewal on its way to the keeper that leads, and how its answer goes back.
+type question struct {
+	agreement.Renewal
+	reply     func(agreement.Grant)
+	forwarded bool
+	came      time.Duration // true time, at the keeper that leads
+	floor     uint64        // the version that some keeper knew to be active then
+}
+
+// watched is a book whose every command is checked.
+type watched struct {
+	agreement.Keeping
+	k *Keeper
+}
+
+func (w watched) Apply(index uint64, c agreement.Command) agreement.Answer {
+	a := w.Keeping.Apply(index, c)
+	w.k.f.check.applied(w.k, index)
+	return a
+}
+
+func (k *Keeper) begin() {
+	k.start()
+	k.starts++
+	book := agreement.NewBook()
+	k.book, k.led = book, 0
+	k.warden = k.f.Hooks.ward(agreement.NewWarden(book), book)
+	k.questions, k.joining, k.confirming = nil, nil, map[quorum.Ticket][]question{}
+	k.orders, k.due = map[quorum.Ticket]func(agreement.Answer){}, map[string]time.Duration{}
+	if k.f.Hooks.ForgetfulDisk {
+		k.disk = k.old
+	}
+	stored := must(k.disk.Load())
+	var peers []uint64
+	for i := range k.f.Keepers {
+		peers = append(peers, uint64(i+1))
+	}
+	var err error
+	k.node, err = quorum.New(quorum.Config{ID: k.id, Peers: peers, Seed: k.f.Seed, Incarnation: k.starts,
+		SnapshotEvery: k.f.SnapshotEvery, Keep: k.f.SnapshotEvery / 4}, watched{book, k}, stored)
+	if err != nil {
+		k.f.breach("%s does not come back: %v", k.Name, err)
+		k.crash()
+		return
+	}
+	k.settle()
+	k.tick()
+}
+
+func (k *Keeper) tick() {
+	k.Timer(k.Now()+k.f.Tick, func() {
+		if k.f.Hooks.ForgetfulDisk && k.e.Chance(0.1) {
+			k.old = k.disk
+		}
+		k.fatal(k.node.Tick())
+		k.settle()
+		k.tick()
+	})
+}
+
+func (k *Keeper) fatal(err error) {
+	if err != nil && !quorum.BadMessage.Of(err) {
+		k.f.breach("%s: %v", k.Name, err)
+	}
+}
+
+// Leads reports whether it takes itself to lead.
+func (k *Keeper) Leads() bool { return k.up && k.node.Leading() }
+
+// Book is what it holds.
+func (k *Keeper) Book() agreement.Keeping { return k.book }
+
+// Status is its warden's view.
+func (k *Keeper) Status() []agreement.NodeStatus { return k.warden.Status(k.Now()) }
+
+// settle does all that there is to do, until nothing is.
+func (k *Keeper) settle() {
+	for again := true; again && k.f.Breach == nil; {
+		out, err := k.node.Settle(&k.disk, k.send)
+		k.fatal(err)
+		for _, to := range k.shipped {
+			k.fatal(k.node.Sent(to, true))
+		}
+		again = len(k.shipped) > 0
+		k.shipped = k.shipped[:0]
+		k.outcome(out)
+		again = k.lead() || again
+	}
+}
+
+func (k *Keeper) send(m quorum.Message) {
+	to := k.f.Keepers[m.To-1]
+	if m.Snapshot {
+		k.shipped = append(k.shipped, m.To)
+	}
+	k.f.Net.Send(k.Name, &to.Proc, func() {
+		k.fatal(to.node.Step(m.Bytes))
+		to.settle()
+	})
+}
+
+func (k *Keeper) outcome(out quorum.Outcome) {
+	for _, a := range out.Applied {
+		if reply := k.orders[a.Ticket]; a.Mine && reply != nil {
+			reply(a.Answer)
+		}
+		delete(k.orders, a.Ticket)
+		if p := a.Command; p.Join == nil && p.Part == nil {
+			k.e.Note(k.Name, "applies", a.Index, describe(p, a.Answer))
+		}
+	}
+	if joining := k.joining; len(out.Applied) > 0 {
+		k.joining = nil
+		for _, q := range joining {
+			if k.e.now-q.came < time.Second { // later nobody waits for it
+				k.grant(q)
+			}
+		}
+	}
+	for _, t := range out.Confirmed {
+		questions := k.confirming[t]
+		delete(k.confirming, t)
+		for _, q := range questions {
+			k.grant(q)
+		}
+	}
+	for _, f := range out.Failed {
+		delete(k.confirming, f.Ticket)
+		delete(k.orders, f.Ticket)
+	}
+}
+
+func describe(c agreement.Command, a agreement.Answer) string {
+	text := string(must(json.Marshal(c)))
+	if a.Err != nil {
+		text = a.Err.Error() + " on " + text
+	}
+	return text[:min(len(text), 120)]
+}
+
+// lead does what a leading keeper has to; it reports whether consensus has something to do for it.
+func (k *Keeper) lead() (worked bool) {
+	if !k.node.Settled() {
+		k.questions, k.joining = nil, nil
+		return false
+	}
+	now := k.Now()
+	if t := k.node.Term(); k.led != t {
+		k.led = t
+		clear(k.due)
+		k.e.Note(k.Name, "leads", t, "")
+		k.warden.Lead(now, t)
+	}
+	for _, c := range k.warden.Due(now) {
+		worked = k.propose(c) || worked
+	}
+	if len(k.questions) > 0 && len(k.confirming) == 0 {
+		questions := k.questions
+		k.questions = nil
+		if k.f.Hooks.Unconfirmed {
+			for _, q := range questions {
+				k.grant(q)
+			}
+		} else if t, err := k.node.Confirm(); err == nil {
+			k.confirming[t] = questions
+		}
+		worked = true
+	}
+	return worked
+}
+
+// proposeAgain is after which time a command that is due is proposed again.
+const proposeAgain = time.Second
+
+func (k *Keeper) propose(c agreement.Command) bool {
+	key, now := string(must(json.Marshal(c))), k.Now()
+	if at, ok := k.due[key]; ok && now-at < proposeAgain {
+		return false
+	}
+	k.due[key] = now
+	_, err := k.node.Propose(c)
+	return err == nil
+}
+
+// question takes a renewal: the keeper that leads hears it, others pass it on once.
+func (k *Keeper) question(q question) {
+	if !k.node.Settled() && !(k.f.Hooks.Unconfirmed && k.node.Leading()) {
+		if l := k.node.Leader(); l != 0 && l != k.id && !q.forwarded {
+			to := k.f.Keepers[l-1]
+			k.f.Net.Send(k.Name, &to.Proc, func() {
+				to.question(question{Renewal: q.Renewal, forwarded: true, reply: func(g agreement.Grant) {
+					k.f.Net.Send(to.Name, &k.Proc, func() { q.reply(g) })
+				}})
+			})
+		}
+		return
+	}
+	q.came, q.floor = k.e.now, k.f.check.active
+	k.lead()
+	for _, c := range k.warden.Hear(k.Now(), q.Renewal) {
+		k.propose(c)
+	}
+	k.questions = append(k.questions, q)
+	k.settle()
+}
+
+// grant answers a renewal that was confirmed; one whose node has yet to join waits until something is applied.
+func (k *Keeper) grant(q question) {
+	g, ok := k.warden.Grant(k.Now(), q.Renewal)
+	if !ok {
+		k.joining = append(k.joining, q)
+		return
+	}
+	k.f.check.granted(k, q, g)
+	q.reply(g)
+}
+
+// order takes an operator's command.
+func (k *Keeper) order(c agreement.Command, forwarded bool, reply func(agreement.Answer)) {
+	if l := k.node.Leader(); !k.node.Leading() && l != 0 && l != k.id && !forwarded {
+		to := k.f.Keepers[l-1]
+		k.f.Net.Send(k.Name, &to.Proc, func() {
+			to.order(c, true, func(a agreement.Answer) { k.f.Net.Send(to.Name, &k.Proc, func() { reply(a) }) })
+		})
+		return
+	}
+	if t, err := k.node.Propose(c); err == nil {
+		k.orders[t] = reply
+		k.settle()
+	}
+}
--- /dev/null
+++ b/internal/fleetsim/plants.go
@@ -0,0 +1,121 @@
+package fleetsim
+
+import (
+	"slices"
+	"time"
+
+	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/catalog"
+)
+
+// plant is a fault that the explorer must find. It sits between the parts, never in them.
+type plant struct {
+	name  string
+	hooks Hooks
+}
+
+var plants = []plant{
+	{"lease-not-checked", Hooks{Follower: func(f agreement.Following) agreement.Following { return unchecked{f} }}},
+	{"lease-from-answer", Hooks{LeaseFromAnswer: true}},
+	{"prepare-skipped", Hooks{SkipPrepare: true}},
+	{"wrong-precedence", Hooks{Unifier: func(u catalog.Unifying) catalog.Unifying { return holderLast{u} }}},
+	{"first-come", Hooks{Unifier: func(u catalog.Unifying) catalog.Unifying { return firstCome{u} }}},
+	{"estimate-halved", Hooks{Estimate: func(need uint64) uint64 { return need / 2 }}},
+	{"silence-ignored", Hooks{Warden: func(w agreement.Wardship, b agreement.Keeping) agreement.Wardship {
+		return &hasty{Wardship: w, book: b}
+	}}},
+	{"grant-unconfirmed", Hooks{Unconfirmed: true}},
+	{"forgetful-disk", Hooks{ForgetfulDisk: true}},
+}
+
+// Plant gives the hooks of a planted fault; false: there is none of that name.
+func Plant(name string) (Hooks, bool) {
+	i := slices.IndexFunc(plants, func(p plant) bool { return p.name == name })
+	if i < 0 {
+		return Hooks{}, false
+	}
+	return plants[i].hooks, true
+}
+
+// PlantNames are the faults that can be planted.
+func PlantNames() (out []string) {
+	for _, p := range plants {
+		out = append(out, p.name)
+	}
+	return out
+}
+
+// unchecked places whatever comes once it has a version.
+type unchecked struct{ agreement.Following }
+
+func (u unchecked) May(now time.Duration, contested func() bool) agreement.Permit {
+	if _, ok := u.InForce(); ok {
+		return agreement.Permit{OK: true}
+	}
+	return u.Following.May(now, contested)
+}
+
+// hasty makes a proposal active as soon as those agree that it has heard within a second.
+type hasty struct {
+	agreement.Wardship
+	book  agreement.Keeping
+	heard map[string]hearing
+}
+
+type hearing struct {
+	at time.Duration
+	agreement.Renewal
+}
+
+func (h *hasty) Lead(now time.Duration, term uint64) {
+	h.heard = map[string]hearing{}
+	h.Wardship.Lead(now, term)
+}
+
+func (h *hasty) Hear(now time.Duration, r agreement.Renewal) []agreement.Command {
+	if h.heard != nil {
+		h.heard[r.Node] = hearing{now, r}
+	}
+	return h.Wardship.Hear(now, r)
+}
+
+func (h *hasty) Due(now time.Duration) []agreement.Command {
+	due := h.Wardship.Due(now)
+	v, waits := h.book.Proposed()
+	ready := 0
+	for _, r := range h.heard {
+		switch {
+		case now-r.at > time.Second:
+		case r.Prepared != v.Number:
+			return due
+		default:
+			ready++
+		}
+	}
+	if waits && ready > 0 && len(due) == 0 {
+		due = []agreement.Command{{Activate: &agreement.Activate{Number: v.Number}}}
+	}
+	return due
+}
+
+// holderLast forgets who holds a name, so that the exports' precedence goes before the holder in force.
+type holderLast struct{ catalog.Unifying }
+
+func (u holderLast) Unify(prev *catalog.State, in catalog.Inputs, at time.Duration) (*catalog.State, []catalog.Finding) {
+	s, findings := u.Unifying.Unify(nil, in, at)
+	if prev != nil {
+		s.Number = prev.Number + 1
+	}
+	return s, findings
+}
+
+// firstCome lets the mesh whose terms came first win.
+type firstCome struct{ catalog.Unifying }
+
+func (u firstCome) Unify(prev *catalog.State, in catalog.Inputs, at time.Duration) (*catalog.State, []catalog.Finding) {
+	in.Meshes = slices.Clone(in.Meshes)
+	for i := range in.Meshes {
+		in.Meshes[i].Precedence = len(in.Meshes) - i
+	}
+	return u.Unifying.Unify(prev, in, at)
+}
