Estimate a route table's memory from its set, within a tenth of what is measured

Need: a node must not load a version that it cannot hold, and the fleet must hear so before it is in force. Change: internal/footprint counts what routing.New makes of a set (rules, texts, records, slots, size classes), live, at the peak of a switch and of an upgrade, and names the heaviest routes; a command measures it over generated tables.

--- a/internal/footprint/counter.go
+++ b/internal/footprint/counter.go
@@ -71,7 +71,8 @@
 // count is a set's sums under way.
 type count struct {
 	*classes
-	policies                                 map[string]underPolicy
+	policies                                 places // by the hashes of their names, the numbers of what follows
+	under                                    []underPolicy
 	names                                    places // of further fields, by their hashes
 	splits                                   places // by their hashes
 	shapes                                   places // likewise, the numbers of what follows
@@ -107,11 +108,16 @@
 // the room that they have. A set that routing.New refuses gets a figure too, the most there is where it would not fit
 // into 64 bits.
 func (c *Counter) Table(set *routing.Set) Estimate {
-	n := count{classes: c.classes, policies: make(map[string]underPolicy, len(set.Policies)),
+	n := count{classes: c.classes, under: make([]underPolicy, 0, len(set.Policies)),
 		masses: make([]mass, 0, len(set.Routes)), forms: make([]form, 0, 8), dim: make([]dimension, 0, 8)}
 	for i := range set.Policies {
 		p := &set.Policies[i]
-		n.policies[p.Name] = underPolicy{n.appended(integers, uint64(len(p.Fallback))), mix(6, xxhash.Sum64String(p.Name))}
+		hash := xxhash.Sum64String(p.Name)
+		at, fresh := n.policies.of(hash)
+		if fresh {
+			n.under = append(n.under, underPolicy{})
+		}
+		n.under[at] = underPolicy{n.appended(integers, uint64(len(p.Fallback))), mix(6, hash)}
 	}
 	fixed := n.fixed(set)
 	for i := range set.Routes {
@@ -203,8 +209,9 @@
 
 	made := n.target(len(r.To))
 	if r.Policy != "" {
-		under := n.policies[r.Policy]
-		made, split = made+under.spares, split+under.hash
+		if at := n.policies.known(xxhash.Sum64String(r.Policy)); at >= 0 {
+			made, split = made+n.under[at].spares, split+n.under[at].hash
+		}
 	}
 	if _, fresh := n.splits.of(split); fresh {
 		n.splitTexts = add(n.splitTexts, n.splitText(r))
@@ -265,8 +272,16 @@
 	return d
 }
 
-// condition adds a dimension and tells what its lists hold. A condition that always holds adds none.
+// condition adds a dimension and tells what its lists hold. Most conditions are none, which costs no call.
 func (n *count) condition(hash uint64, exact, prefix []string) (held uint64) {
+	if cap(exact)+cap(prefix) == 0 {
+		return 0
+	}
+	return n.dimension(hash, exact, prefix)
+}
+
+// dimension adds a condition's dimension. One that always holds has none.
+func (n *count) dimension(hash uint64, exact, prefix []string) (held uint64) {
 	if len(exact)+len(prefix) == 0 {
 		return n.list(exact) + n.list(prefix)
 	}
@@ -401,22 +416,24 @@
 	e := Estimate{Rules: n.rules}
 	e.Live = sum(fixed, perRoute, n.set, n.targets, perRules, each, records)
 
-	// The two moments at which most is held: while the heaviest route is expanded, taken as the last one, with its rules
-	// once more and those of the step before; and when the records move for the last time.
-	_, moved := n.grown(rulesOf, n.rules)
+	// The three moments at which most is held: when the heaviest route, taken as the last one, is expanded and the rules of
+	// the step before are still there; when its rules are added to the list of all, which moves; and when the records move
+	// for the last time.
 	drawn := rulesOf.size + rulesOf.size/8
-	widest := add(mul(n.mostRules, drawn),
+	expanded := sum(n.appended(rulesOf, n.rules-n.mostRules), mul(n.mostRules, drawn),
 		mul(n.mostBefore, drawn+n.appendedTo(fields, dims-1)+n.appendedTo(texts, dims-1)))
-	expanding := sum(fixed, perRoute, n.set, n.targets, each, n.appended(rulesOf, n.rules),
-		max(widest, n.array(rulesOf, moved)))
+	_, moved := n.grown(rulesOf, n.rules)
+	listed := sum(n.appended(rulesOf, n.rules), n.array(rulesOf, moved), mul(n.mostRules, drawn))
+	expanding := sum(fixed, perRoute, n.set, n.targets, each, max(expanded, listed))
 	indexing := sum(e.Live, members, n.mapped(nameSlot, uint64(n.splits.n)), n.splitTexts, before)
 	e.Compile = max(expanding, indexing) - e.Live
 
 	if len(n.masses) > 0 {
 		e.Heaviest = make([]Weight, 0, heaviest+1)
 	}
+	even := perRoute / max(uint64(len(n.masses)), 1)
 	for i, m := range n.masses {
-		n.weigh(&e, Weight{Route: set.Routes[i].Name, Rules: m.rules, Bytes: sum(m.own, perRoute/uint64(len(n.masses)),
+		n.weigh(&e, Weight{Route: set.Routes[i].Name, Rules: m.rules, Bytes: sum(m.own, even,
 			mul(m.rules, perRule), share(perRules, m.rules, n.rules), share(records, m.records, n.records))})
 	}
 	return e
--- a/internal/footprint/footprint_test.go
+++ b/internal/footprint/footprint_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -43,7 +44,8 @@
 
 func TestLive(t *testing.T) {
 	c, large, least := New(), 0, 0.95
-	if info, ok := debug.ReadBuildInfo(); ok && slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"}) {
+	race := debug.BuildSetting{Key: "-race", Value: "true"}
+	if info, ok := debug.ReadBuildInfo(); ok && slices.Contains(info.Settings, race) {
 		least = 0.9 // short texts take more there
 	}
 	for _, p := range sets.Plans(3, 3*len(sets.Kinds()), 10_000, 10_000) {
@@ -85,10 +87,25 @@
 		}
 		near(t, kind, c.Switch(c.Table(standing), c.Table(set), len(text)), held, 0.95, 1.15)
 	}
+	var short routing.Strings
+	for i := range 64 {
+		short.Exact = append(short.Exact, strconv.Itoa(i))
+	}
+	// One route of 4,096 rules takes more while it is expanded than all holds in the end.
+	old, standing := encoded(t, routing.Set{Pools: []routing.Pool{{Name: "p"}}})
+	text, set := encoded(t, routing.Set{Pools: []routing.Pool{{Name: "p"}}, Routes: []routing.Route{{Name: "r", To: whole,
+		Match: routing.Match{Key: short, Group: short}}}})
+	held, err := sets.Switch(old, text, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "one route", c.Switch(c.Table(standing), c.Table(set), len(text)), held, 0.95, 1.15)
 }
 
-// again is a set as a decoder would leave it.
-func again(t *rapid.T, set routing.Set) *routing.Set {
+var whole = []routing.Part{{Pool: "p", PPM: routing.Whole}}
+
+// encoded is a set's text, and the set as a decoder would leave it.
+func encoded(t interface{ Fatal(...any) }, set routing.Set) ([]byte, *routing.Set) {
 	text, err := json.Marshal(set)
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +114,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return out
+	return text, out
 }
 
 // fieldsOf is how many further fields routes know.
@@ -116,16 +133,17 @@
 	Property(t, func(rt *rapid.T) {
 		_, set := read(rt, sets.Plan{Kind: rapid.SampledFrom(sets.Kinds()).Draw(rt, "kind"),
 			Routes: rapid.IntRange(1, 40).Draw(rt, "routes"), Seed: rapid.Uint64().Draw(rt, "seed")})
-		whole := c.Table(set)
+		all := c.Table(set)
 		mixed := *set
 		mixed.Routes = rapid.Permutation(set.Routes).Draw(rt, "order")
 		mixed.Routes = append(make([]routing.Route, 0, cap(set.Routes)), mixed.Routes...)
-		Equal(t, "the estimate in another order", whole, c.Table(&mixed))
+		Equal(t, "the estimate in another order", all, c.Table(&mixed))
 
-		less := whole
+		less := all
 		for n := len(set.Routes); n > 0; n-- {
 			mixed.Routes = mixed.Routes[:n-1]
-			e := c.Table(again(rt, mixed))
+			_, fewer := encoded(rt, mixed)
+			e := c.Table(fewer)
 			// A further field makes each rule's lists longer by one, and by chance of their sizes it may make them
 			// smaller: a list of 16 texts is one of 15 grown by half of what it then holds, one of 18 is just that.
 			if fieldsOf(mixed.Routes) < fieldsOf(mixed.Routes[:n]) {
@@ -144,13 +162,13 @@
 	c := New()
 	for _, kind := range sets.Kinds() {
 		_, set := read(t, sets.Plan{Kind: kind, Routes: 10, Seed: 9})
-		whole, sum := c.Table(set), uint64(0)
-		for _, w := range whole.Heaviest {
+		all, sum := c.Table(set), uint64(0)
+		for _, w := range all.Heaviest {
 			sum += w.Bytes
 		}
-		Equal(t, "as many as there are", 10, len(whole.Heaviest))
+		Equal(t, "as many as there are", 10, len(all.Heaviest))
 		set.Routes = nil
-		near(t, kind+": all routes' weights", sum, whole.Live-c.Table(set).Live, 0.97, 1.03)
+		near(t, kind+": all routes' weights", sum, all.Live-c.Table(set).Live, 0.97, 1.03)
 	}
 
 	_, set := read(t, sets.Plan{Kind: "one text", Routes: 5000, Seed: 9})
@@ -186,16 +204,16 @@
 	for i := range 20 {
 		huge.Fields[fmt.Sprint("f", i)] = wide(500)
 	}
-	part := []routing.Part{{Pool: "p", PPM: routing.Whole}}
 	route := func(m routing.Match) routing.Set {
-		return routing.Set{Pools: []routing.Pool{{Name: "p"}}, Routes: []routing.Route{{Name: "r", Match: m, To: part}}}
+		return routing.Set{Pools: []routing.Pool{{Name: "p"}}, Routes: []routing.Route{{Name: "r", Match: m, To: whole}}}
 	}
 	e, set := Estimate{}, route(huge)
 	e = c.Table(&set)
 	Equal(t, "the most there is", []uint64{math.MaxUint64, math.MaxUint64, math.MaxUint64, math.MaxUint64},
 		[]uint64{e.Live, e.Rules, c.Switch(e, e, 1), c.Upgrade(e, 1)})
 	set = routing.Set{Policies: []routing.Policy{{}, {Fallback: []string{"", "?"}}}, Default: "none",
-		Routes: []routing.Route{{}, {Policy: "?", To: []routing.Part{{PPM: math.MinInt}}}, {Match: routing.Match{Key: wide(3000)}}}}
+		Routes: []routing.Route{{}, {Policy: "?", To: []routing.Part{{PPM: math.MinInt}}},
+			{Match: routing.Match{Key: wide(3000)}}}}
 	if e = c.Table(&set); e.Rules != 3002 || e.Live > 16*mib {
 		t.Errorf("a set with all kinds of faults: %+v", e)
 	}
@@ -203,6 +221,41 @@
 	Equal(t, "a text of a length that makes no sense", c.Switch(e, e, 0), c.Switch(e, e, -1))
 }
 
+func TestRepeatedTextsCountOnce(t *testing.T) {
+	long := []string{"a", "b", "c", "d", "e", "f"}
+	for _, c := range []struct {
+		rules uint64
+		match routing.Match
+	}{
+		{1, routing.Match{}},
+		{1, routing.Match{Key: routing.Strings{Exact: long, Prefix: []string{"x", ""}}}}, // holds always
+		{2, routing.Match{Class: []string{"a", "b", "a"}}},
+		{6, routing.Match{Zone: append(long, long...)}},
+		{8, routing.Match{Key: routing.Strings{Exact: append(long, "a"), Prefix: []string{"a", "b", "a"}}}},
+		{4, routing.Match{Group: routing.Strings{Exact: []string{"a", "a"}, Prefix: []string{"a"}}, Listener: []string{"a", "b"}}},
+	} {
+		set := routing.Set{Routes: []routing.Route{{Match: c.match}}}
+		Equal(t, fmt.Sprintf("rules of %+v", c.match), c.rules, New().Table(&set).Rules)
+	}
+}
+
+// TestManyShapes has a table with more shapes than any that is of use.
+func TestManyShapes(t *testing.T) {
+	set := routing.Set{Pools: []routing.Pool{{Name: "p"}}}
+	for i := range 2000 {
+		set.Routes = append(set.Routes, routing.Route{Name: fmt.Sprint("r", i), Precedence: i,
+			To: whole,
+			Match: routing.Match{Group: wide(1 + i%7), Key: routing.Strings{Prefix: []string{strings.Repeat("k", 1+i%11)}},
+				Fields: map[string]routing.Strings{fmt.Sprint("f", i%13): wide(1 + i%3), fmt.Sprint("g", i%17): wide(1)}}})
+	}
+	text, read := encoded(t, set)
+	live, err := sets.Live(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "many shapes", New().Table(read).Live, live, 0.97, 1.05)
+}
+
 // spent is what do allocates, in bytes.
 func spent(do func()) uint64 {
 	var before, after runtime.MemStats
--- a/internal/footprint/heap.go
+++ b/internal/footprint/heap.go
@@ -78,14 +78,21 @@
 	return (n + pageSize - 1) &^ (pageSize - 1)
 }
 
-// text is what a string holds that was made by itself. Those of one byte lie in the program; short ones share blocks,
-// each at an even place if it is of even length.
+// tiny is a short text's part of a block, by its length: as many share one as fit.
+var tiny = func() (part [tinySize]uint8) {
+	for n := 1; n < tinySize; n++ {
+		part[n] = uint8(tinySize / (tinySize / n))
+	}
+	return part
+}()
+
+// text is what a string holds that was made by itself. Those of one byte lie in the program, short ones share blocks.
 func (c *classes) text(n int) uint64 {
 	switch {
 	case n <= 1:
 		return 0
 	case n < tinySize:
-		return uint64(tinySize / (tinySize / n))
+		return uint64(tiny[n])
 	}
 	return c.object(uint64(n), false)
 }
--- a/internal/footprint/measure/limits.go
+++ b/internal/footprint/measure/limits.go
@@ -32,12 +32,13 @@
 	}
 	peak := counter.Switch(e, e, len(text))
 	var b strings.Builder
-	fmt.Fprintf(&b, "# A switch of route tables under a memory limit\n\ncommit %s\n\ncommand: go run ./internal/footprint/measure -limits "+
-		"-seed %d -routes %d\nseed: %d, processors: %d, %s\n\nA table of %d routes is reloaded while the same one stands; the "+
-		"estimate's peak is %.1f MiB. Beside it the process holds %.1f MiB\n(the program that measures, and the runtime). "+
-		"The limit is that and so many times the peak.\n\n| limit, of the peak | ms, median of %d | of those without a limit "+
-		"| most held, MiB | over the limit, MiB |\n| --- | --- | --- | --- | --- |\n", commit, seed, routes, seed,
-		runtime.GOMAXPROCS(0), runtime.Version(), routes, float64(peak)/mib, float64(beside(e.Live))/mib, rounds)
+	fmt.Fprintf(&b, "# A switch of route tables under a memory limit\n\ncommit %s\n\n"+
+		"command: go run ./internal/footprint/measure -limits -seed %d -routes %d\nseed: %d, processors: %d, %s\n\n",
+		commit, seed, routes, seed, runtime.GOMAXPROCS(0), runtime.Version())
+	fmt.Fprintf(&b, "A table of %d routes is reloaded while the same one stands; the estimate's peak is %.1f MiB. Beside it the\n"+
+		"process holds %.1f MiB (the program that measures, and the runtime). The limit is that and so many times the peak.\n\n"+
+		"| limit, of the peak | ms, median of %d | of those without a limit | most held, MiB | over the limit, MiB |\n"+
+		"| --- | --- | --- | --- | --- |\n", routes, float64(peak)/mib, float64(beside(e.Live))/mib, rounds)
 	free := time.Duration(0)
 	for _, factor := range []float64{0, 2, 1.5, 1.25, 1.1, 1.05, 1, 0.95} {
 		var took []time.Duration
--- a/internal/footprint/measure/main.go
+++ b/internal/footprint/measure/main.go
@@ -29,7 +29,7 @@
 	part            = 1.0 / 20
 	mib             = 1 << 20
 	fine, coarse    = 4, 5 // percent of growth between two collections, of tables up to 32 MiB and above
-	rounds          = 5    // of which the middle one's time counts
+	rounds          = 7    // of which the middle one's time counts
 	atLeast         = 2 * time.Millisecond
 )
 
@@ -209,10 +209,11 @@
 	}{{"from 1 MiB", large}, {"below 1 MiB", small}} {
 		line(&b, "live, "+set.name, set.of, "0.95 to 1.15", within, func(f figure) float64 { return f.byLive })
 		line(&b, "peak of a switch, "+set.name, set.of, "0.95 to 1.15", within, func(f figure) float64 { return f.bySwitch })
-		line(&b, "estimate's time to compile's, "+set.name, set.of, "0.05 at most", func(v float64) bool { return v <= part },
-			func(f figure) float64 { return f.cost })
+		line(&b, "estimate's time to compile's, "+set.name, set.of, "0.05 at most",
+			func(v float64) bool { return v <= part }, func(f figure) float64 { return f.cost })
 	}
-	b.WriteString("\nBelow 1 MiB nothing is asked; the figures are told.\n\n## By kind\n\nLeast and most of each kind, tables from 1 MiB up.\n\n" +
+	b.WriteString("\nBelow 1 MiB nothing is asked; the figures are told.\n\n## By kind\n\n" +
+		"Least and most of each kind, tables from 1 MiB up.\n\n" +
 		"| kind | tables | largest, MiB | live | peak of a switch | estimate's time to compile's, median |\n" +
 		"| --- | --- | --- | --- | --- | --- |\n")
 	for _, kind := range sets.Kinds() {
@@ -226,7 +227,8 @@
 		fmt.Fprintf(&b, "| %s | %d | %.1f | %.3f to %.3f | %.3f to %.3f | 1/%.0f |\n", kind, len(of), size[len(size)-1],
 			live[0], live[len(live)-1], held[0], held[len(held)-1], 1/cost[len(cost)/2])
 	}
-	b.WriteString("\n## Each table\n\n| kind | routes | rules | live, MiB | ratio | peak, MiB | ratio | compile, ms | estimate's part |\n" +
+	b.WriteString("\n## Each table\n\n" +
+		"| kind | routes | rules | live, MiB | ratio | peak, MiB | ratio | compile, ms | estimate's part |\n" +
 		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, f := range all {
 		fmt.Fprintf(&b, "| %s | %d | %d | %.3f | %.3f | %.3f | %.3f | %.3f | 1/%.0f |\n", f.plan.Kind, f.plan.Routes, f.rules,
@@ -245,7 +247,8 @@
 	return out
 }
 
-func line(b *strings.Builder, name string, of []figure, asked string, good func(float64) bool, by func(figure) float64) {
+func line(b *strings.Builder, name string, of []figure, asked string, good func(float64) bool,
+	by func(figure) float64) {
 	values := sorted(of, by)
 	if len(values) == 0 {
 		return
--- a/internal/footprint/places.go
+++ b/internal/footprint/places.go
@@ -26,6 +26,14 @@
 	return int(s.at) - 1, fresh
 }
 
+// known gives a hash's number, -1 if it has none.
+func (p *places) known(hash uint64) int {
+	if p.n == 0 {
+		return -1
+	}
+	return int(p.slot(hash).at) - 1
+}
+
 func (p *places) slot(hash uint64) *place {
 	for i := hash; ; i++ {
 		if s := &p.slots[i&uint64(len(p.slots)-1)]; s.at == 0 || s.hash == hash {
@@ -36,7 +44,7 @@
 
 func (p *places) grow() {
 	before := p.slots
-	p.slots = make([]place, max(2*len(before), 32))
+	p.slots = make([]place, max(4*len(before), 32)) // by four, since to move them costs more than room
 	for _, s := range before {
 		if s.at != 0 {
 			*p.slot(s.hash) = s
--- a/internal/footprint/sets/sets.go
+++ b/internal/footprint/sets/sets.go
@@ -171,7 +171,8 @@
 	zones := []string{"thies", "dakar", "saint-louis"}
 	for i := range pools {
 		pool := routing.Pool{Name: fmt.Sprint("pool-", i, m.text(0, 8)), Precedence: i}
-		pool.Select = routing.Select{Zones: m.some(zones), MachineTypes: m.texts(m.IntN(3), 3, 9), IDPrefixes: m.texts(m.IntN(2), 2, 6)}
+		pool.Select = routing.Select{Zones: m.some(zones), MachineTypes: m.texts(m.IntN(3), 3, 9),
+			IDPrefixes: m.texts(m.IntN(2), 2, 6)}
 		for c := range m.IntN(5) {
 			pool.Select.Cells = append(pool.Select.Cells, c)
 		}
