--- a/plastic.go
+++ b/plastic.go
@@ -27,9 +27,9 @@
 	return int(at)
 }
 
-// slotsPerServer is how many slots a server has at least, in the mean. There are leastSlots in all, more beyond 128 servers:
-// their number hardly ever changes, so that the history, which a node that starts in mid-change cannot know, hardly ever
-// tells nodes apart.
+// slotsPerServer is how many slots a server has at least, in the mean. There are leastSlots in all, more
+// beyond 128 servers: their number hardly ever changes, so that the history, which a node that starts in
+// mid-change cannot know, hardly ever tells nodes apart.
 const slotsPerServer, leastSlots = 16, 2048
 
 // table is the history of slot counts and the slots' owners.
@@ -56,10 +56,11 @@
 	}
 }
 
-// follow brings the table up to a list, and tells whether that changed it. A slot is the server's with the strongest
-// claim on it, so the owners follow from the list alone: joiners take slots, of all others evenly, and keep them;
-// leavers' slots go to all others evenly; and nodes whose lists are alike agree, whatever came before. Where each node
-// had a history of its own, as when many restart during a release, a group was strewn over the places of all tables.
+// follow brings the table up to a list, and tells whether that changed it. A slot is the server's with the
+// strongest claim on it, so the owners follow from the list alone: joiners take slots, of all others
+// evenly, and keep them; leavers' slots go to all others evenly; and nodes whose lists are alike agree,
+// whatever came before. Where each node had a history of its own, as when many restart during a release, a
+// group was strewn over the places of all tables.
 func (t *table) follow(ready []*server) bool {
 	left, joined := map[*server]bool{}, []*server(nil)
 	for _, s := range t.owner {
@@ -104,8 +105,9 @@
 	return true
 }
 
-// strongest gives whichever has the strongest claim on a slot, the one that holds it or one of those who claim it, by
-// weighted rendezvous (Schindelhauer, Schomaker 2005): an exponential draw by Size, the least of which wins.
+// strongest gives whichever has the strongest claim on a slot, the one that holds it or one of those who
+// claim it, by weighted rendezvous (Schindelhauer, Schomaker 2005): an exponential draw by Size, the least
+// of which wins.
 func strongest(slot int, holder *server, claim []*server) *server {
 	key := keys.Scramble(uint64(slot) + 1)
 	draw := func(s *server) (at, least float64) {
@@ -193,7 +195,8 @@
 	}
 	b.formerAt = b.now
 	for _, t := range append(slices.Collect(maps.Values(b.zoned)), &b.table) {
-		t.before = &table{counts: slices.Clone(t.counts), owner: slices.Clone(t.owner), unit: t.unit, servers: t.servers}
+		t.before = &table{counts: slices.Clone(t.counts), owner: slices.Clone(t.owner), unit: t.unit,
+			servers: t.servers}
 	}
 }
 
