Write the table's claims once, and count its owners where they are made

Need: reading the change again. strongest took a holder apart from the claimants and drew twice for it; with leavers alone it drew for every slot that nobody had claimed. Owners were counted from indices at a restore and taken to be all ready servers elsewhere, so a restored table could differ where a tiny server owns no slot. Kept forms of a table held a count that nobody reads. Change: one list of claimants, one count of owners; a test of such a server.

--- a/plastic.go
+++ b/plastic.go
@@ -86,14 +86,16 @@
 	if fresh {
 		t.owner = make([]*server, n)
 	}
+	claim := append([]*server{nil}, joined...) // on a slot that is held, its holder first
 	for i, s := range t.owner {
 		if fresh || left[s] {
-			t.owner[i] = strongest(i, nil, ready)
-		} else {
-			t.owner[i] = strongest(i, s, joined)
+			t.owner[i] = strongest(i, ready)
+		} else if len(joined) > 0 {
+			claim[0] = s
+			t.owner[i] = strongest(i, claim)
 		}
 	}
-	t.servers, t.unit = len(ready), max(sum/float64(max(n, 1)), 1e-9)
+	t.servers, t.unit = owners(t.owner), max(sum/float64(max(n, 1)), 1e-9)
 	switch {
 	case n == 0:
 		t.counts = nil
@@ -105,25 +107,26 @@
 	return true
 }
 
-// strongest gives whichever has the strongest claim on a slot, the one that holds it or one of those who
-// claim it, by weighted rendezvous (Schindelhauer, Schomaker 2005): an exponential draw by Size, the least
-// of which wins.
-func strongest(slot int, holder *server, claim []*server) *server {
-	key := keys.Scramble(uint64(slot) + 1)
-	draw := func(s *server) (at, least float64) {
-		at = keys.Chance(key, s.hash)
-		return at, at / s.size // no more than the draw itself
-	}
-	best := math.Inf(1)
-	if holder != nil {
-		at, _ := draw(holder)
-		best = -math.Log1p(-at) / holder.size
+// owners counts the servers that own slots.
+func owners(slots []*server) int {
+	seen := map[*server]bool{}
+	for _, s := range slots {
+		seen[s] = true
 	}
+	return len(seen)
+}
+
+// strongest gives whichever of some servers has the strongest claim on a slot, by weighted rendezvous
+// (Schindelhauer, Schomaker 2005): an exponential draw by Size, the least of which wins.
+func strongest(slot int, claim []*server) (holder *server) {
+	key, best := keys.Scramble(uint64(slot)+1), math.Inf(1)
 	for _, s := range claim {
-		if at, least := draw(s); least < best {
-			if d := -math.Log1p(-at) / s.size; d < best {
-				holder, best = s, d
-			}
+		at := keys.Chance(key, s.hash)
+		if at/s.size >= best {
+			continue // the draw is no less than that, and most are told so without a logarithm
+		}
+		if draw := -math.Log1p(-at) / s.size; draw < best {
+			holder, best = s, draw
 		}
 	}
 	return holder
@@ -195,8 +198,7 @@
 	}
 	b.formerAt = b.now
 	for _, t := range append(slices.Collect(maps.Values(b.zoned)), &b.table) {
-		t.before = &table{counts: slices.Clone(t.counts), owner: slices.Clone(t.owner), unit: t.unit,
-			servers: t.servers}
+		t.before = &table{counts: slices.Clone(t.counts), owner: slices.Clone(t.owner), unit: t.unit}
 	}
 }
 
--- a/plastic_test.go
+++ b/plastic_test.go
@@ -450,3 +450,19 @@
 		t.Errorf("%d of %d connections found", found, stood)
 	}
 }
+
+// A server far smaller than the others may own no slot. A restored table counts owners as the one that it was made from.
+func TestRestoredTableCountsOwnersAlike(t *testing.T) {
+	members := fleetOf(8)
+	for i := range members[1:] {
+		members[i+1].Size = 1e6
+	}
+	b := start(t, testSettings(), members, 1)
+	again, err := Restore(b.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.table.servers != 7 || again.table.servers != b.table.servers {
+		t.Errorf("%d servers own slots, %d once restored, want 7", b.table.servers, again.table.servers)
+	}
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -352,7 +352,7 @@
 }
 
 func (r *restorer) table(t TableState) (*table, error) {
-	out := &table{counts: slices.Clone(t.Counts), unit: t.Unit, servers: distinct(t.Owner)}
+	out := &table{counts: slices.Clone(t.Counts), unit: t.Unit}
 	if t.Before != nil {
 		before, err := r.table(*t.Before)
 		if err != nil {
@@ -371,6 +371,7 @@
 		!(out.unit > 0)) {
 		return nil, errors.New("micafront: a table of the snapshot makes no sense")
 	}
+	out.servers = owners(out.owner)
 	return out, nil
 }
 
--- a/state.go
+++ b/state.go
@@ -51,12 +51,6 @@
 	return out
 }
 
-// distinct counts the servers that own slots.
-func distinct(owners []int) int {
-	owners = slices.Sorted(slices.Values(owners))
-	return len(slices.Compact(owners))
-}
-
 // SuspicionState is the failures since the last success.
 type SuspicionState struct {
 	Fails   int
@@ -202,7 +196,7 @@
 			}
 			out.owner = append(out.owner, servers[i])
 		}
-		out.counts, out.servers = slices.Clone(t.Counts), distinct(t.Owner)
+		out.counts, out.servers = slices.Clone(t.Counts), owners(out.owner)
 		return out, nil
 	}
 	whole, err := load(s.Table)
