Let three test binaries become the real program by one function

Need: cmd/micafront-keeper's tests wrote again what those of cmd/micafront and cmd/micafront-tools had each for itself. Change: testkit.Program. Measured: their tests pass.

--- a/cmd/micafront-keeper/main_test.go
+++ b/cmd/micafront-keeper/main_test.go
@@ -17,18 +17,13 @@
 	"time"
 
 	"example.org/micafront/internal/keeper"
+	. "example.org/micafront/internal/testkit"
 )
 
 const childEnv = "MICAFRONT_KEEPER_TEST_CHILD"
 
 // TestMain lets the test binary be the real program when it is started as such.
-func TestMain(m *testing.M) {
-	if os.Getenv(childEnv) != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { Program(m, childEnv, main) }
 
 // process is the real program.
 type process struct {
--- a/cmd/micafront-tools/tools_test.go
+++ b/cmd/micafront-tools/tools_test.go
@@ -16,13 +16,7 @@
 const childEnv = "MICAFRONT_TOOLS_TEST_CHILD"
 
 // TestMain lets the test binary be the real program when it is started as such.
-func TestMain(m *testing.M) {
-	if os.Getenv(childEnv) != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { Program(m, childEnv, main) }
 
 // tool runs the program and gives what it printed and its exit code.
 func tool(t *testing.T, args ...string) (out, errs string, code int) {
--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -14,18 +14,13 @@
 	"time"
 
 	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
 )
 
 const childEnv = "MICAFRONT_TEST_CHILD"
 
 // TestMain lets the test binary be the real program when it is started as such.
-func TestMain(m *testing.M) {
-	if os.Getenv(childEnv) != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { Program(m, childEnv, main) }
 
 type world struct {
 	*standin.Discovery
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -3,6 +3,7 @@
 
 import (
 	"flag"
+	"os"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -17,6 +18,15 @@
 	}
 }
 
+// Program is for a TestMain: where the variable is set, the test binary is the real program, and runs its main.
+func Program(m *testing.M, variable string, main func()) {
+	if os.Getenv(variable) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
 // Property checks a property on random input, the same each time.
 func Property(t *testing.T, check func(*rapid.T)) {
 	t.Helper()
