Check addresses, drift and untyped errors in one place each

Need: the change had the numeric address three times (config, its fleet record, keeper), four drifts of a time three times, and 'its own type, else made one of this kind' four times. Change: config.Address, agreement's slack, remedy.Kind.Typed; texts and bounds are the same.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -35,10 +35,10 @@
 
 // Lease is how long a grant lets a proxy act on a version in full, on its own clock, from when it asked. It is shorter than
 // Within by the drift of the clocks on both sides.
-func (t Terms) Lease() time.Duration { return t.Within - t.Within*time.Duration(4*t.Drift)/1_000_000 }
+func (t Terms) Lease() time.Duration { return t.Within - slack(t.Within, t.Drift) }
 
 // Knows is how long a grant lets a proxy count on its knowledge, on its own clock, from when it asked.
-func (t Terms) Knows() time.Duration { return t.Know - t.Know*time.Duration(4*t.Drift)/1_000_000 }
+func (t Terms) Knows() time.Duration { return t.Know - slack(t.Know, t.Drift) }
 
 // Version is a rule book: numbered, content-addressed, complete. It is never changed.
 type Version struct {
--- a/internal/agreement/book.go
+++ b/internal/agreement/book.go
@@ -162,7 +162,7 @@
 	default:
 		body, err := p.Body.Checked("proposal")
 		if err != nil {
-			return 0, asRemedy(err)
+			return 0, BadBody.Typed("proposal", err)
 		}
 		v.Body, v.Digest = body, body.Digest()
 	}
@@ -179,14 +179,6 @@
 	return v.Number, nil
 }
 
-// asRemedy is for errors that are of this package's kinds by how they are made.
-func asRemedy(err error) *remedy.Error {
-	if e, ok := err.(*remedy.Error); ok {
-		return e
-	}
-	return BadBody.Wrap("proposal", err)
-}
-
 func (b *Book) activate(a Activate) Answer {
 	if err := b.mustWait(a.Number); err != nil {
 		return Answer{a.Number, err}
--- a/internal/agreement/terms.go
+++ b/internal/agreement/terms.go
@@ -49,9 +49,12 @@
 // know/(1+d). The former is the shorter for every d up to the greatest, so know alone would do; the four drifts on top
 // are for a drift that the terms of an earlier version put lower than it is.
 func silence(know time.Duration, drift int64) time.Duration {
-	return know + know*time.Duration(4*drift)/1_000_000
+	return know + slack(know, drift)
 }
 
+// slack is four drifts of a time.
+func slack(d time.Duration, drift int64) time.Duration { return d * time.Duration(4*drift) / 1_000_000 }
+
 type termsJSON struct {
 	Within    int64   `json:"within_us"`
 	Know      int64   `json:"know_us"`
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -57,6 +57,16 @@
 // has the last word then: nobody can change the environment of a running process.
 func (c *Config) Again(env func(string) string) (*Config, error) { return load(env, c) }
 
+// Address refuses what is no numeric address and port. Port 0 is one that the system chooses, which only who listens may
+// ask for.
+func Address(addr string, listens bool) error {
+	host, port, err := net.SplitHostPort(addr)
+	if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || net.ParseIP(host) == nil || n == 0 && !listens {
+		return fmt.Errorf("%q is not a numeric address and port", addr)
+	}
+	return nil
+}
+
 func load(env func(string) string, before *Config) (*Config, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
@@ -106,10 +116,8 @@
 		if a.addr == "" && a.name == "operator" {
 			continue
 		}
-		host, port, err := net.SplitHostPort(a.addr)
-		if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || net.ParseIP(host) == nil ||
-			a.name == "discovery" && n == 0 {
-			return nil, address.New("", "%s address %q is not a numeric address and port", a.name, a.addr)
+		if err := Address(a.addr, a.name != "discovery"); err != nil {
+			return nil, address.New("", "%s address %v", a.name, err)
 		}
 	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"slices"
-	"strconv"
 	"time"
 
 	"example.org/micafront"
@@ -78,9 +76,8 @@
 	}
 	for i, addr := range f.Keepers {
 		place := fmt.Sprintf("keepers[%d]", i)
-		host, port, err := net.SplitHostPort(addr)
-		if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || n == 0 || net.ParseIP(host) == nil {
-			bad(place, "%q is not a numeric address and port", addr)
+		if err := Address(addr, false); err != nil {
+			bad(place, "%v", err)
 		} else if slices.Contains(f.Keepers[:i], addr) {
 			bad(place, "%q comes twice", addr)
 		}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -70,10 +70,7 @@
 	link = -1
 	defer func() {
 		if err != nil {
-			var typed *remedy.Error
-			if !errors.As(err, &typed) {
-				err = unanswered.Wrap(path, err)
-			}
+			err = unanswered.Typed(path, err)
 			_ = unix.Close(link)
 			for _, fd := range listeners {
 				_ = unix.Close(fd)
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -254,7 +253,7 @@
 	if _, err := ask(ctx, k, func(c *core) bool {
 		c.asked++
 		if err := c.office.Ask(c.now(), c.asked, r); err != nil {
-			reply <- quorum.Reply{Err: asRemedy(err)}
+			reply <- quorum.Reply{Err: quorum.Broken.Typed("keeper", err)}
 		} else {
 			c.asks[c.asked] = reply
 		}
@@ -269,15 +268,6 @@
 	return got.Grant, err
 }
 
-// asRemedy is for errors that are of a kind by how they are made.
-func asRemedy(err error) *remedy.Error {
-	var e *remedy.Error
-	if errors.As(err, &e) {
-		return e
-	}
-	return quorum.Broken.Wrap("keeper", err)
-}
-
 // commit puts a command into the order and gives what it came to.
 func (k *Keeper) commit(ctx context.Context, c agreement.Command) (agreement.Answer, error) {
 	landed := make(chan outcome, 1)
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -4,15 +4,14 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"maps"
-	"net"
 	"os"
 	"slices"
 	"strconv"
 	"time"
 
+	"example.org/micafront/internal/config"
 	"example.org/micafront/internal/remedy"
 )
 
@@ -70,7 +69,7 @@
 	if c.ID == 0 {
 		bad("id", "it is 0 or not told")
 	}
-	if err := address(c.Listen, true); err != nil {
+	if err := config.Address(c.Listen, true); err != nil {
 		bad("listen", "%v", err)
 	}
 	if c.Data == "" {
@@ -85,7 +84,7 @@
 		if n, err := strconv.ParseUint(id, 10, 64); err != nil || n == 0 || strconv.FormatUint(n, 10) != id {
 			bad(place, "%q is no keeper's id, a number from 1 on", id)
 		}
-		if err := address(addr, false); err != nil {
+		if err := config.Address(addr, false); err != nil {
 			bad(place, "%v", err)
 		} else if other, twice := seen[addr]; twice {
 			bad(place, "%s is keeper %s's address too", addr, other)
@@ -120,11 +119,3 @@
 	}
 	return out
 }
-
-func address(s string, any bool) error {
-	host, port, err := net.SplitHostPort(s)
-	if n, perr := strconv.ParseUint(port, 10, 16); err != nil || perr != nil || net.ParseIP(host) == nil || n == 0 && !any {
-		return fmt.Errorf("%q is not a numeric address and port", s)
-	}
-	return nil
-}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -273,10 +272,7 @@
 
 // told names the place of a fault.
 func (k *call) told(err error) error {
-	var typed *remedy.Error
-	if !errors.As(err, &typed) {
-		err = unreachable.Wrap("", err)
-	}
+	err = unreachable.Typed("", err)
 	place := fmt.Sprintf("%s %s, object %d", k.c.Addr, k.path, k.count+1)
 	if n := k.stream.Held(); n > 0 {
 		place += fmt.Sprintf(", %d bytes of it", n)
--- a/internal/remedy/remedy.go
+++ b/internal/remedy/remedy.go
@@ -47,6 +47,15 @@
 // Wrap makes one of a kind that another error lies behind.
 func (k *Kind) Wrap(place string, err error) *Error { return &Error{Kind: k, Place: place, Err: err} }
 
+// Typed gives an error's own type, where it has one or something behind it has; else it is made one of this kind.
+func (k *Kind) Typed(place string, err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return k.Wrap(place, err)
+}
+
 func (e *Error) Error() string {
 	var parts []string
 	for _, s := range []string{e.Place, e.Cause} {
--- a/internal/remedy/remedy_test.go
+++ b/internal/remedy/remedy_test.go
@@ -20,6 +20,10 @@
 	if got := a.Wrap("file", inner).Error(); got != `file: route r: no pool "p"` {
 		t.Errorf("says %q", got)
 	}
+	if typed, plain := b.Typed("x", fmt.Errorf("in words: %w", inner)), a.Typed("x", errors.New("y")); typed != inner ||
+		plain.Kind != a || plain.Error() != "x: y" {
+		t.Errorf("typed as %v and %v", typed, plain)
+	}
 	if Remedies(nil) != nil || a.New("", "").Error() != "x/a" {
 		t.Error("an error of nothing")
 	}
