Tell what is known when a keeper's call runs out of time

Two lines at fault in calls.go: lead() kept the error of its last look, which the end of the time itself may cut, over what the look before it had found (no leader); and commit() gave keeper/timed-out where the command waits in the owner's queue and may still be put into the order, so that a caller who repeats it under another id would have it twice. Change: a look that is cut tells what the one before it found; a command in the queue is quorum/uncertain.

--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -158,7 +158,7 @@
 	pauses.InitialInterval, pauses.MaxInterval = firstPause, longPause
 	var last error
 	got, err := backoff.Retry(ctx, func() (result, error) {
-		got, err := k.leadOnce(ctx, hop, c)
+		got, err := k.leadOnce(ctx, hop, c, last)
 		last = err
 		if err != nil && (hop || !slices.ContainsFunc(c.again, func(kind *remedy.Kind) bool { return kind.Of(err) })) {
 			return got, backoff.Permanent(err)
@@ -171,13 +171,16 @@
 	return got, err
 }
 
-func (k *Keeper) leadOnce(ctx context.Context, hop bool, c leaderCall) (result, error) {
+// leadOnce tries once. before is what the try before it came to; nil: it is the first.
+func (k *Keeper) leadOnce(ctx context.Context, hop bool, c leaderCall, before error) (result, error) {
 	type view struct {
 		leader uint64
 		moved  <-chan struct{}
 	}
 	is, err := ask(ctx, k, func(c *core) view { return view{c.node.Leader(), c.moved} })
-	if err != nil {
+	if TimedOut.Of(err) && before != nil {
+		return result{}, before // that the time ran out on this look says less
+	} else if err != nil {
 		return result{}, err
 	}
 	leader := is.leader
@@ -280,12 +283,10 @@
 		}
 		return true
 	}); err != nil {
-		return agreement.Answer{}, err
+		return agreement.Answer{}, k.uncertain(err)
 	}
 	got, err := await(ctx, k, landed)
-	if TimedOut.Of(err) {
-		err = quorum.Uncertain.Wrap(fmt.Sprintf("keeper %d", k.cfg.ID), err)
-	}
+	err = k.uncertain(err)
 	if err == nil {
 		err = got.err
 	}
@@ -295,6 +296,14 @@
 	return got.answer, err
 }
 
+// uncertain is what a command's time-out means: the owner has it in its queue at least, and may put it into the order yet.
+func (k *Keeper) uncertain(err error) error {
+	if TimedOut.Of(err) {
+		return quorum.Uncertain.Wrap(fmt.Sprintf("keeper %d", k.cfg.ID), err)
+	}
+	return err
+}
+
 // Proposed answers a proposal, or a withdrawal.
 type Proposed struct {
 	Number uint64 `json:"number"`
