Play many seeds of a whole fleet in one command, and a time without any keeper

Change: each seed in a process of its own, some side by side, with a row each, shares of answers, cost in processors and memory; -blackout kills all keepers for a time; a world that this process cannot open the files of says so first. Quantiles and the commit's name are in one package, internal/figures.

--- a/cmd/micafront-tools/main.go
+++ b/cmd/micafront-tools/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"example.org/micafront/internal/figures"
 	"github.com/alecthomas/kong"
 	"github.com/willabides/kongplete"
 )
@@ -56,18 +57,11 @@
 	if !ok {
 		return errors.New("this program was built without its version")
 	}
-	version, commit := info.Main.Version, ""
-	for _, s := range info.Settings {
-		switch s.Key {
-		case "vcs.revision":
-			commit = " commit " + s.Value[:min(12, len(s.Value))]
-		case "vcs.modified":
-			if s.Value == "true" {
-				commit += " with changes"
-			}
-		}
+	commit := figures.Commit(12)
+	if commit != "" {
+		commit = " commit " + commit
 	}
-	fmt.Printf("micafront %s%s, %s\n", version, commit, info.GoVersion)
+	fmt.Printf("micafront %s%s, %s\n", info.Main.Version, commit, info.GoVersion)
 	return nil
 }
 
--- a/internal/catalog/measure/main.go
+++ b/internal/catalog/measure/main.go
@@ -3,13 +3,13 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +18,7 @@
 	"time"
 
 	"example.org/micafront/internal/catalog"
+	"example.org/micafront/internal/figures"
 	"example.org/micafront/internal/routing"
 )
 
@@ -93,22 +94,6 @@
 		float64(after.TotalAlloc-before.TotalAlloc)/float64(t.rounds)/(1<<20), said)
 }
 
-// commit is what the build says of itself.
-func commit() string {
-	out := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			switch {
-			case s.Key == "vcs.revision":
-				out = s.Value[:min(len(s.Value), 7)]
-			case s.Key == "vcs.modified" && s.Value == "true":
-				out += " with changes"
-			}
-		}
-	}
-	return out
-}
-
 // load is how many tasks waited or ran in the minute before, as the system tells.
 func load() string {
 	text, err := os.ReadFile("/proc/loadavg")
@@ -121,7 +106,7 @@
 func main() {
 	seed := flag.Uint64("seed", 1, "seed of the catalogs")
 	rounds := flag.Int("rounds", 21, "rounds of each row")
-	build := flag.String("commit", commit(), "commit that the page names")
+	build := flag.String("commit", cmp.Or(figures.Commit(7), "unknown"), "commit that the page names")
 	out := flag.String("out", "", "file to write; none: standard output")
 	flag.Parse()
 	if flag.NArg() > 0 || *rounds < 1 {
--- a/internal/fleetsim/schedule.go
+++ b/internal/fleetsim/schedule.go
@@ -12,6 +12,7 @@
 
 	"example.org/micafront/internal/agreement"
 	"example.org/micafront/internal/catalog"
+	"example.org/micafront/internal/figures"
 )
 
 // Outcome is what a run of the explorer came to.
@@ -396,8 +397,8 @@
 	}{{"contradictions acted on for", s.Overlaps}, {"agreed without faults after", s.Calmly},
 		{"agreed after all healed", s.Healed}} {
 		slices.Sort(l.times)
-		fmt.Fprintf(&b, "%-34s %7d %12s %12s %12s\n", l.what, len(l.times), quantile(l.times, 0.5), quantile(l.times, 0.99),
-			quantile(l.times, 1))
+		at := func(part float64) time.Duration { return figures.Quantile(l.times, part).Round(time.Microsecond) }
+		fmt.Fprintf(&b, "%-34s %7d %12s %12s %12s\n", l.what, len(l.times), at(0.5), at(0.99), at(1))
 	}
 	for _, silence := range slices.Sorted(maps.Keys(s.Tried)) {
 		all := float64(s.Tried[silence])
@@ -417,11 +418,3 @@
 	}
 	return b.String()
 }
-
-// quantile of sorted times; 0 where there are none.
-func quantile(sorted []time.Duration, q float64) time.Duration {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)].Round(time.Microsecond)
-}
--- a/internal/fleettest/keepers.go
+++ b/internal/fleettest/keepers.go
@@ -136,7 +136,7 @@
 // so that a yes that was lost is said again.
 func (w *World) propose(number uint64) error {
 	body := agreement.Body{Settings: json.RawMessage(settings), Routing: routing(number),
-		Fleet: agreement.Terms{Within: w.Within, Know: w.Know}}
+		Fleet: agreement.Terms{Within: w.Within, Know: w.Know, OnSilence: w.Silence}}
 	whole, err := body.Checked("proposal")
 	if err != nil {
 		return err
--- a/internal/fleettest/play/main.go
+++ b/internal/fleettest/play/main.go
@@ -2,23 +2,33 @@
 // up one after the other, and writes what it came to as a table and a chart.
 //
 //	go run ./internal/fleettest/play -proxies 200 -keepers 5 -seconds 120 -seed 1 -out docs/results
+//
+// With -seeds it plays many, each in a process of its own, and writes a row for each. With -blackout no keeper serves for a
+// time. It ends with 1 where a rule was broken.
+//
+//	go run ./internal/fleettest/play -proxies 200 -keepers 5 -seconds 120 -seeds 1-20 -side 2 -between 30s -out docs/results
+//	go run ./internal/fleettest/play -proxies 200 -keepers 5 -seconds 120 -blackout 30s -out docs/results
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"runtime"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
 
+	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/figures"
 	"example.org/micafront/internal/fleettest"
+	"example.org/micafront/internal/standin"
 	"github.com/go-echarts/go-echarts/v2/charts"
 	"github.com/go-echarts/go-echarts/v2/components"
 	"github.com/go-echarts/go-echarts/v2/opts"
@@ -26,128 +36,256 @@
 
 type flags struct {
 	fleettest.Options
-	seconds        int
-	every, between time.Duration
-	out, name      string
+	seconds, side      int
+	every, between     time.Duration
+	blackout           time.Duration
+	calm               bool
+	seeds              []uint64
+	out, name          string
+	findings, programs string
+	args               string   // as they were given
+	passed             []string // those that the process of one seed gets as well
 }
 
 func main() {
-	var f flags
-	flag.IntVar(&f.Proxies, "proxies", 200, "how many proxies")
-	flag.IntVar(&f.Keepers, "keepers", 5, "how many keepers; 0: the proxies go by their files and SIGHUP")
-	flag.IntVar(&f.seconds, "seconds", 120, "for how long things happen")
-	flag.Uint64Var(&f.Seed, "seed", 1, "of what happens and of the links' chances")
-	flag.IntVar(&f.Clients, "clients", 2, "of each proxy")
-	flag.DurationVar(&f.Pause, "pause", 400*time.Millisecond, "between a client's requests, on average")
-	flag.IntVar(&f.PerPool, "hops", 2, "next hops in each of the four pools")
-	flag.DurationVar(&f.SetUp, "set-up", 2*time.Millisecond, "what a connection costs a next hop; ten times as much while it is cold")
-	flag.DurationVar(&f.Cold, "cold", 3*time.Second, "how long a next hop is cold")
-	flag.Float64Var(&f.Discovery, "discovery", 50, "calls a second that discovery takes; 0: any number")
-	flag.DurationVar(&f.Within, "within", 2*time.Second, "the bound that the fleet agrees on")
-	flag.DurationVar(&f.Know, "know", 10*time.Second, "how long a silent proxy holds up a version")
-	flag.DurationVar(&f.every, "every", 2*time.Second, "between events, on average")
-	flag.DurationVar(&f.between, "between", 3*time.Second, "between versions")
-	flag.StringVar(&f.out, "out", "", "the folder for the table and the chart; without it, the table is printed")
-	flag.StringVar(&f.name, "name", "fleet-play", "of their files")
-	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := play(ctx, f); err != nil {
+	switch err := command(ctx, os.Args[1:], os.Stdout, os.Stderr); {
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(2)
+	case err != nil:
 		fmt.Fprintln(os.Stderr, "play:", err)
 		os.Exit(1)
 	}
 }
 
+// parse reads the flags and what follows from them.
+func parse(args []string, errOut io.Writer) (f flags, err error) {
+	set := flag.NewFlagSet("play", flag.ContinueOnError)
+	set.SetOutput(errOut)
+	set.IntVar(&f.Proxies, "proxies", 200, "how many proxies")
+	set.IntVar(&f.Keepers, "keepers", 5, "how many keepers; 0: the proxies go by their files and SIGHUP")
+	set.IntVar(&f.seconds, "seconds", 120, "for how long things happen")
+	set.Uint64Var(&f.Seed, "seed", 1, "of what happens and of the links' chances")
+	seeds := set.String("seeds", "", "many, such as 1-20 or 1-4,9: each is played by a process of its own")
+	// A world of 200 proxies keeps three to four processors busy, whether clients come each second or every four.
+	set.IntVar(&f.side, "side", max(1, runtime.NumCPU()/4), "how many seeds are played side by side")
+	set.DurationVar(&f.blackout, "blackout", 0, "for how long no keeper serves, from a third of the run on; each way to take "+
+		"silence is played, without and with other faults")
+	silence := set.String("silence", "", "what a proxy does that hears no keeper, hold or serve; with -blackout: only this "+
+		"one is played")
+	set.BoolVar(&f.calm, "calm", false, "without other faults")
+	set.IntVar(&f.Clients, "clients", 2, "of each proxy")
+	set.DurationVar(&f.Pause, "pause", time.Second, "between a client's requests, on average")
+	set.IntVar(&f.PerPool, "hops", 2, "next hops in each of the four pools")
+	set.DurationVar(&f.SetUp, "set-up", 2*time.Millisecond, "what a connection costs a next hop; ten times as much while it "+
+		"is cold")
+	set.DurationVar(&f.Cold, "cold", 3*time.Second, "how long a next hop is cold")
+	set.Float64Var(&f.Discovery, "discovery", 50, "calls a second that discovery takes; 0: any number")
+	set.DurationVar(&f.Within, "within", 2*time.Second, "the bound that the fleet agrees on")
+	set.DurationVar(&f.Know, "know", 10*time.Second, "how long a silent proxy holds up a version")
+	set.DurationVar(&f.every, "every", 2*time.Second, "between events, on average")
+	set.DurationVar(&f.between, "between", 3*time.Second, "between versions")
+	set.StringVar(&f.out, "out", "", "the folder for the table and the chart; without it, the table is printed")
+	set.StringVar(&f.name, "name", "", "of their files (fleet-play, or fleet-blackout)")
+	set.StringVar(&f.findings, "findings", "", "a file for what one seed came to as JSON, in place of table and chart")
+	set.StringVar(&f.programs, "programs", "", "the folder of the programs, built before; without it, they are built")
+	if err := set.Parse(args); err != nil {
+		return f, err
+	}
+	f.args = strings.Join(args, " ")
+	set.Visit(func(g *flag.Flag) {
+		switch g.Name {
+		case "seed", "seeds", "side", "silence", "calm", "out", "name", "findings", "programs":
+		default:
+			f.passed = append(f.passed, "-"+g.Name+"="+g.Value.String())
+		}
+	})
+	if f.Silence = agreement.Silence(*silence); f.Silence != "" && f.Silence != agreement.Hold && f.Silence != agreement.Serve {
+		return f, fmt.Errorf("-silence %.40q: it is neither %q nor %q", *silence, agreement.Hold, agreement.Serve)
+	}
+	if *seeds != "" {
+		if f.seeds, err = fleettest.Seeds(*seeds); err != nil {
+			return f, err
+		}
+	}
+	length := time.Duration(f.seconds) * time.Second
+	switch {
+	case set.NArg() > 0:
+		return f, fmt.Errorf("%.40q: no argument is taken but flags", set.Arg(0))
+	case f.Proxies < 1 || f.Keepers < 0 || f.Clients < 1 || f.PerPool < 1 || f.seconds < 1 || f.side < 1:
+		return f, errors.New("-proxies, -clients, -hops, -seconds and -side are 1 at least, -keepers 0")
+	case f.Pause <= 0 || f.every < time.Millisecond || f.between <= 0:
+		return f, errors.New("-pause, -every and -between are above 0")
+	case f.blackout < 0 || f.blackout > min(length/2, longest):
+		return f, fmt.Errorf("-blackout %v: it is half of -seconds and %v at most", f.blackout, longest)
+	case f.blackout > 0 && (f.Keepers == 0 || len(f.seeds) > 1):
+		return f, errors.New("-blackout needs -keepers, and one seed")
+	}
+	if f.name = cmp.Or(f.name, "fleet-play"); f.blackout > 0 && f.name == "fleet-play" {
+		f.name = "fleet-blackout"
+	}
+	return f, nil
+}
+
+// longest is what a blackout may last: an operator's proposal is tried again for Patience.
+const longest = standin.Patience * 2 / 3
+
 var errBroken = errors.New("a rule was broken; the table says which")
 
-func play(ctx context.Context, f flags) (err error) {
+// command is the whole command.
+func command(ctx context.Context, args []string, out, errOut io.Writer) error {
+	f, err := parse(args, errOut)
+	if err != nil {
+		return err
+	}
 	if f.Dir, err = os.MkdirTemp("", "play"); err != nil {
 		return err
 	}
 	defer os.RemoveAll(f.Dir)
-	if f.Programs, err = fleettest.Build(f.Dir, "micafront", "micafront-keeper"); err != nil {
+	if f.programs == "" {
+		f.programs = f.Dir
+		if f.Programs, err = fleettest.Build(f.Dir, programs...); err != nil {
+			return err
+		}
+	} else {
+		f.Programs = map[string]string{}
+		for _, name := range programs {
+			f.Programs[name] = filepath.Join(f.programs, name)
+		}
+	}
+	switch {
+	case f.findings != "":
+		return one(ctx, f, errOut)
+	case f.blackout > 0 || len(f.seeds) > 0:
+		return many(ctx, f, out, errOut)
+	}
+	r, err := live(ctx, f, errOut)
+	if err != nil {
 		return err
 	}
+	if f.out == "" {
+		fmt.Fprint(out, r.table())
+	} else if err := r.write(); err != nil {
+		return err
+	}
+	if len(r.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+var programs = []string{"micafront", "micafront-keeper"}
+
+// live has one world live through its faults and gives what it came to. A version that was lost is a rule broken.
+func live(ctx context.Context, f flags, errOut io.Writer) (r *report, err error) {
+	r = &report{flags: f}
 	began := time.Now()
 	w, err := fleettest.New(ctx, f.Options)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer func() { err = errors.Join(err, w.Close()) }()
+	defer func() {
+		err = errors.Join(err, w.Close())
+		if r != nil {
+			r.cost(time.Since(began))
+		}
+	}()
 	if len(w.Keepers) > 0 {
 		if err := w.InForce(1, w.Proxies); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	fmt.Fprintf(os.Stderr, "%d proxies and %d keepers serve after %v\n", len(w.Proxies), len(w.Keepers),
+	fmt.Fprintf(errOut, "%d proxies and %d keepers serve after %v\n", len(w.Proxies), len(w.Keepers),
 		time.Since(began).Round(time.Millisecond))
 	length := time.Duration(f.seconds) * time.Second
-	plan := fleettest.Draw(f.Seed, length, f.every, f.Proxies, f.Keepers, 4*f.PerPool)
+	if !f.calm {
+		r.plan = fleettest.Draw(f.Seed, length, f.every, f.Proxies, f.Keepers, 4*f.PerPool)
+	}
+	if f.blackout > 0 {
+		r.plan = fleettest.Spare(r.plan, length/3, length/3+f.blackout)
+		if r.stayers, err = w.Stay(); err != nil {
+			return nil, err
+		}
+		defer r.stayers.Cut()
+	}
+	r.served = time.Now()
 	proposing, enough := context.WithTimeout(ctx, length)
 	defer enough()
-	var took []time.Duration
-	proposed := make(chan error, 1)
+	ended := make(chan error, 2)
 	go func() {
 		var err error
-		took, err = w.Versions(proposing, f.between)
-		proposed <- err
+		r.took, err = w.Versions(proposing, f.between)
+		ended <- err
 	}()
-	played := w.Run(plan)
-	if err := errors.Join(played, <-proposed); err != nil {
-		return err
-	}
-	last, err := w.Propose()
-	if err == nil {
-		err = w.InForce(last, w.Proxies)
+	go func() {
+		var err error
+		if f.blackout > 0 && wait(proposing, length/3) == nil {
+			r.gone, r.back, err = w.Blackout(f.blackout)
+		}
+		ended <- err
+	}()
+	played := w.Run(r.plan)
+	if err := errors.Join(played, <-ended, <-ended); err != nil {
+		return nil, err
 	}
-	if err == nil {
-		err = w.Kept()
+	if r.last, err = w.Propose(); err == nil {
+		err = w.InForce(r.last, w.Proxies)
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
-	w.Quiet()
-	found := w.Find()
-	r := report{f, found, took, last, plan}
-	if f.out == "" {
-		fmt.Print(r.table())
-	} else if err := r.write(); err != nil {
-		return err
+	lost := w.Kept()
+	r.memory, r.files = w.Memory(), files()
+	if r.stayers != nil {
+		r.cut = r.stayers.Cut()
 	}
-	if len(found.Broken) > 0 {
-		return errBroken
+	w.Quiet()
+	r.Findings = w.Find()
+	r.rules(lost)
+	return r, nil
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return nil
 }
 
 // report is a run's results.
 type report struct {
 	flags
 	fleettest.Findings
-	took []time.Duration
-	last uint64
-	plan []fleettest.Event
+	took       []time.Duration
+	last       uint64
+	plan       []fleettest.Event
+	served     time.Time          // when all served
+	gone, back time.Time          // the keepers
+	stayers    *fleettest.Stayers // nil: without a blackout
+	cut        []string           // of these
+	lost       []string           // versions
+	givenUp    int                // lines over a bound that Serve gives up
+	memory     int64              // bytes, of all processes of the world
+	files      int                // that this process had open at the end
+	used, own  time.Duration      // of processors, by the world's processes and by this one
+	lasted     time.Duration
 }
 
 func ms(d time.Duration) string { return fmt.Sprintf("%.0f ms", float64(d.Microseconds())/1e3) }
 
-// of is the value at a part of the values in order.
-func of(v []time.Duration, part float64) time.Duration {
-	if len(v) == 0 {
-		return 0
-	}
-	v = slices.Sorted(slices.Values(v))
-	return v[min(int(part*float64(len(v))), len(v)-1)]
-}
-
 func (r *report) table() string {
 	var b strings.Builder
 	line := func(form string, args ...any) { fmt.Fprintf(&b, form+"\n", args...) }
 	line("# %d proxies and %d keepers, %d seconds of faults", r.Proxies, r.Keepers, r.seconds)
 	line("")
-	line("command: go run ./internal/fleettest/play %s", strings.Join(os.Args[1:], " "))
+	line("command: go run ./internal/fleettest/play %s", r.args)
 	line("")
-	line("seed %d, %d processors, %s. The bound is %v, a silent proxy holds up a version for %v.", r.Seed, runtime.NumCPU(),
+	line("commit %s, seed %d, %d processors, %s. The bound is %v, a silent proxy holds up a version for %v.", revision(),
+		r.Seed,
+		runtime.NumCPU(),
 		runtime.Version(), r.Within, r.Know)
 	line("")
 	line("| figure | value |\n| --- | --- |")
@@ -171,17 +309,21 @@
 	}
 	line("| versions put up, seen on lines | %d, %d |", len(r.Switches), versions)
 	line("| longest contradiction acted on | %s |", ms(r.Longest))
-	line("| contradiction by version, median and longest | %s, %s |", ms(of(lengths, 0.5)), ms(of(lengths, 1)))
+	line("| contradiction by version, median and longest | %s, %s |", ms(figures.Quantile(lengths, 0.5)),
+		ms(figures.Quantile(lengths, 1)))
 	line("| first lines of the contested class, of them late | %d, %d |", r.Lines, late)
 	line("| late lines over the bound, excused by a standstill | %d |", len(r.Excused))
-	line("| proposal until active, median, 9 of 10, longest | %s, %s, %s |", ms(of(r.took, 0.5)), ms(of(r.took, 0.9)), ms(of(r.took, 1)))
+	line("| proposal until active, median, 9 of 10, longest | %s, %s, %s |", ms(figures.Quantile(r.took, 0.5)),
+		ms(figures.Quantile(r.took, 0.9)), ms(figures.Quantile(r.took, 1)))
 	line("| version at the end, at all proxies | %d |", r.last)
 	t := r.Tally
 	line("| requests answered: served, refused, failed | %d: %d, %d, %d |", t.Answers, t.Served, t.Refused, t.Failed)
-	line("| set-up time, median and 99 of 100 | %s, %s |", ms(of(setUps, 0.5)), ms(of(setUps, 0.99)))
+	line("| set-up time, median and 99 of 100 | %s, %s |", ms(figures.Quantile(setUps, 0.5)), ms(figures.Quantile(setUps,
+		0.99)))
 	line("| requests lost with a proxy that was killed | %d |", r.Lost)
 	line("| calls of discovery, turned away, in the busiest second | %d, %d, %d |", r.Calls, r.Away, r.Busiest)
-	line("| time that a proxy could not run, median and longest | %s, %s |", ms(of(stood, 0.5)), ms(of(stood, 1)))
+	line("| time that a proxy could not run, median and longest | %s, %s |", ms(figures.Quantile(stood, 0.5)),
+		ms(figures.Quantile(stood, 1)))
 	line("| rules broken | %d |", len(r.Broken))
 	line("")
 	line("## What happened\n\n| at | event |\n| --- | --- |")
@@ -237,7 +379,8 @@
 func chart(title, y string) *charts.Line {
 	c := charts.NewLine()
 	c.SetGlobalOptions(charts.WithTitleOpts(opts.Title{Title: title}), charts.WithYAxisOpts(opts.YAxis{Name: y}),
-		charts.WithXAxisOpts(opts.XAxis{Name: "s"}), charts.WithTooltipOpts(opts.Tooltip{Show: opts.Bool(true), Trigger: "axis"}),
+		charts.WithXAxisOpts(opts.XAxis{Name: "s"}), charts.WithTooltipOpts(opts.Tooltip{Show: opts.Bool(true),
+			Trigger: "axis"}),
 		charts.WithLegendOpts(opts.Legend{Show: opts.Bool(true), Top: "bottom"}),
 		charts.WithDataZoomOpts(opts.DataZoom{Type: "inside"}))
 	return c
@@ -280,7 +423,8 @@
 		charts.WithYAxisOpts(opts.YAxis{Name: "ms"}), charts.WithXAxisOpts(opts.XAxis{Name: "version"}),
 		charts.WithTooltipOpts(opts.Tooltip{Show: opts.Bool(true)}), charts.WithLegendOpts(opts.Legend{Show: opts.Bool(false)}))
 	c.SetXAxis(names).AddSeries("contradiction", longest,
-		charts.WithMarkLineNameYAxisItemOpts(opts.MarkLineNameYAxisItem{Name: "bound", YAxis: float64(r.Within.Milliseconds())}))
+		charts.WithMarkLineNameYAxisItemOpts(opts.MarkLineNameYAxisItem{Name: "bound",
+			YAxis: float64(r.Within.Milliseconds())}))
 	return c
 }
 
--- /dev/null
+++ b/internal/fleettest/play/play_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/micafront/internal/remedy"
+	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
+)
+
+const asPlay = "PLAY_TEST_AS_PLAY"
+
+func TestMain(m *testing.M) { Program(m, asPlay, main) }
+
+func results() []result {
+	s := time.Second
+	return []result{
+		{Seed: 1, Longest: []time.Duration{s, 3 * s}, Took: []time.Duration{s}, Versions: 2, Calls: 7, Busiest: 4, Files: 9,
+			Tally: standin.Tally{Answers: 4, Served: 2, Refused: 1, Failed: 1}},
+		{Seed: 2, Longest: []time.Duration{2 * s}, Took: []time.Duration{4 * s}, Versions: 3, Calls: 1, Busiest: 6,
+			Lost:  []string{"3"},
+			Tally: standin.Tally{Answers: 4, Served: 4}},
+		{Seed: 3, Fault: "signal: killed", Versions: 100, Longest: []time.Duration{time.Hour}},
+	}
+}
+
+func TestResultsAddUp(t *testing.T) {
+	sum := all(results())
+	Equal(t, "sums, without the run that did not end", []int{5, 8, 6, 8, 6, 9, 1}, []int{sum.Versions, sum.Calls, sum.Busiest,
+		sum.Tally.Answers, sum.Tally.Served, sum.Files, len(sum.Lost)})
+	Equal(t, "contradictions", "2000 ms, 3000 ms, 3000 ms", three(sum.Longest))
+	Equal(t, "shares", "75.00 / 12.50 / 12.50 % of 8", sum.answers())
+	empty := all(nil)
+	Equal(t, "of nothing", []string{"0 ms, 0 ms, 0 ms", "none"}, []string{three(empty.Longest), empty.answers()})
+}
+
+func TestBrokenRuleIsTold(t *testing.T) {
+	good := results()[:2]
+	if err := broken(good); err != nil {
+		t.Error(err)
+	}
+	bad := results()
+	bad[1].Broken, bad[1].Unanswered = []string{"request r7 has 2 final answers"}, 1
+	text := seedTable(flags{side: 2}, bad)
+	for _, want := range []string{"seed 2: request r7 has 2 final answers", "seed 3 did not come to its end: signal: killed"} {
+		if err := broken(bad); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(text, "- "+want) {
+			t.Errorf("%q is not in the error %v, or not in the table:\n%s", want, err, text)
+		}
+	}
+	if rows := strings.Count(text, "\n| "); rows != 2+3+1 || !strings.Contains(text, "| no: 1 breaches |") {
+		t.Errorf("%d rows:\n%s", rows, text)
+	}
+}
+
+// Each seed whose process fails is told, the others' rows stay, and the command says that it failed.
+func TestFailedProcessesAreTold(t *testing.T) {
+	t.Setenv(asPlay, "1")
+	dir := t.TempDir() // has no programs
+	var out, errOut bytes.Buffer
+	err := command(context.Background(), []string{"-proxies=1", "-keepers=1", "-seconds=1", "-seeds=4,6", "-programs=" +
+		dir}, &out, &errOut)
+	for _, want := range []string{"seed 4 did not come to its end", "seed 6 did not come to its end", "no such file"} {
+		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in %v and\n%s", want, err, out.String())
+		}
+	}
+}
+
+func TestFlagsTurnedDown(t *testing.T) {
+	for _, c := range []struct{ args, want string }{
+		{"-seeds 1-x", `seeds "1-x", part 1: "x" is no number`}, {"-seeds 1,5-4", `seeds "1,5-4", part 2: 5 comes after 4`},
+		{"-seeds 1-3,2", "part 2: seed 2 comes twice"}, {"-seeds 0-18446744073709551615", "more than 10000 seeds"},
+		{"-silence sleep", `"sleep": it is neither "hold" nor "serve"`}, {"-blackout 61s -seconds 120",
+			"-blackout 1m1s: it is half"},
+		{"-blackout 5s -keepers 0", "needs -keepers"}, {"-pause 0s", "-pause"}, {"-side 0", "-side"}, {"more",
+			`"more": no argument`},
+	} {
+		if _, err := parse(strings.Fields(c.args), &bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.args, err, c.want)
+		}
+	}
+	f, err := parse([]string{"-seeds", "18446744073709551615,2-4", "-hops", "3", "-blackout", "0s"}, &bytes.Buffer{})
+	Equal(t, "seeds", []any{nil, []uint64{1<<64 - 1, 2, 3, 4}}, []any{err, f.seeds})
+	Equal(t, "what a seed's process is given", []string{"-blackout=0s", "-hops=3"}, f.passed)
+}
+
+// A world that this process cannot open the files of says so before anything starts.
+func TestTooFewDescriptors(t *testing.T) {
+	err := command(context.Background(), []string{"-proxies=100000000", "-programs=" + t.TempDir()}, &bytes.Buffer{},
+		&bytes.Buffer{})
+	var typed *remedy.Error
+	if !errors.As(err, &typed) || typed.Kind.Name != "fleettest/descriptors" || !strings.Contains(err.Error(), "the limit is") {
+		t.Error(err)
+	}
+}
+
+// later finds the whole percents that were served by Hold and by Serve after Know.
+var later = regexp.MustCompile(`\| after that, without keepers \| (\d+)\.\S+ [^|]*\| (\d+)\.`)
+
+// A tiny world goes the whole way through many processes: once as seeds, once as a blackout.
+func TestManySeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it has real processes live for seconds")
+	}
+	t.Setenv(asPlay, "1")
+	dir := t.TempDir()
+	tiny := []string{"-proxies=2", "-keepers=1", "-between=500ms", "-pause=50ms", "-discovery=0", "-out=" + dir}
+	for _, c := range []struct {
+		name string
+		args []string
+		want []string
+	}{
+		{"fleet-play", []string{"-seconds=3", "-seeds=1,2", "-side=2"}, []string{"\n| 1 | 0 |", "\n| 2 | 0 |",
+			"\n| all | 0 |"}},
+		{"fleet-blackout", []string{"-seconds=6", "-blackout=2s", "-know=1s", "-within=500ms", "-calm"},
+			[]string{"| hold, without other faults | serve, without", "\n| connections that stood, of them cut | 2, 0 | 2, 0 " +
+				"|"}},
+	} {
+		var out, errOut bytes.Buffer
+		if err := command(context.Background(), append(c.args, tiny...), &out, &errOut); err != nil {
+			t.Fatalf("%s: %v\n%s", c.name, err, errOut.String())
+		}
+		text, err := os.ReadFile(filepath.Join(dir, c.name+".md"))
+		page, perr := os.ReadFile(filepath.Join(dir, c.name+".html"))
+		if err := errors.Join(err, perr); err != nil || !bytes.Contains(page, []byte("bound")) {
+			t.Fatalf("%s: %v, %d bytes of chart", c.name, err, len(page))
+		}
+		if m := later.FindSubmatch(text); c.name == "fleet-blackout" && (m == nil || len(m[1]) > 1 || len(m[2]) < 2) {
+			t.Errorf("after Know, Hold serves less than 10 %% and Serve more: %q\n%s", m, text)
+		}
+		for _, want := range append(c.want, "No rule was broken.") {
+			if !strings.Contains(string(text), want) {
+				t.Errorf("%s: %q is missing:\n%s", c.name, want, text)
+			}
+		}
+	}
+}
--- a/internal/fleettest/world.go
+++ b/internal/fleettest/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/micafront/internal/agreement"
 	"example.org/micafront/internal/faultnet"
 	"example.org/micafront/internal/standin"
 )
@@ -33,6 +35,7 @@
 	Discovery float64       // calls a second that it takes; 0: any number
 	Within    time.Duration // of the fleet's terms
 	Know      time.Duration
+	Silence   agreement.Silence // of the fleet's terms; empty: Hold
 }
 
 // World is all that runs.
@@ -97,6 +100,9 @@
 
 // New starts a world: all processes serve once it returns, and clients come. What it has started ends with Close.
 func New(ctx context.Context, o Options) (w *World, err error) {
+	if err := o.room(); err != nil {
+		return nil, err
+	}
 	w = &World{Options: o, began: time.Now(), judge: standin.NewJudge(), hopJudge: standin.NewJudge(),
 		links: map[string][]faultnet.Link{}}
 	w.ctx, w.cancel = context.WithCancel(ctx)
@@ -225,7 +231,7 @@
 			keepers = append(keepers, l.Addr())
 		}
 		config["fleet"] = map[string]any{"keepers": keepers, "node": name, "agree_within_ms": w.Within.Milliseconds(),
-			"know_for_ms": w.Know.Milliseconds()}
+			"know_for_ms": w.Know.Milliseconds(), "on_silence": cmp.Or(w.Silence, agreement.Hold)}
 	}
 	path := filepath.Join(w.Dir, name+".json")
 	p := &Proxy{Index: i, config: path}
