Agree on the list of next hops at the keepers, which ask discovery once for all

Need: every proxy asked discovery for itself, so lists differed between proxies for as long as calls failed or watches lagged, and discovery bore 200 callers. Change: internal/roster, the agreed list, pure; a command of the keepers' order; the keeper that leads follows discovery and serves the list under discovery's own protocol. Drains and removals go out before they are agreed on, and are put right where they never are.

--- a/cmd/micafront-keeper/main.go
+++ b/cmd/micafront-keeper/main.go
@@ -17,7 +17,7 @@
 
 // commandLine is what the program is told; a flag has the last word over the file's member.
 type commandLine struct {
-	Config         string            `help:"The keeper's file, of JSON; read again at SIGHUP for its peers' addresses." short:"c" type:"existingfile"`
+	Config         string            `help:"The keeper's file, of JSON; read again at SIGHUP for the addresses of its peers and of discovery." short:"c" type:"existingfile"`
 	ID             uint64            `help:"Which of the peers this keeper is."`
 	Listen         string            `help:"The numeric address and port to serve at; port 0: the system chooses. A listener handed on by MICAFRONT_KEEPER_FD comes first."`
 	Data           string            `help:"The directory that holds the log." type:"path"`
--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -112,4 +112,6 @@
 	// Stranded means that the version in force was forced past this node, which could not prepare it.
 	Stranded bool  `json:"stranded,omitempty"`
 	Terms    Terms `json:"terms"` // of the version in force
+
+	List uint64 `json:"list,omitempty"` // the agreed list of next hops' number; 0: keepers have none
 }
--- a/internal/agreement/book.go
+++ b/internal/agreement/book.go
@@ -9,6 +9,7 @@
 	"unicode/utf8"
 
 	"example.org/micafront/internal/remedy"
+	"example.org/micafront/internal/roster"
 )
 
 // Bounds of what a Book holds, so that no client makes a keeper grow without end.
@@ -37,6 +38,8 @@
 	members  []Member  // replaced, never changed in place: Members gives it away
 	history  []Record
 	answers  []answered // the eldest first
+
+	roster *roster.State
 }
 
 // answered is what a proposal came to, as far as a repeat of it must be told.
@@ -51,7 +54,7 @@
 var _ Keeping = (*Book)(nil)
 
 // NewBook makes the Book of a fleet that has no version yet.
-func NewBook() *Book { return &Book{} }
+func NewBook() *Book { return &Book{roster: roster.NewState()} }
 
 // Apply takes a command. An index that is not beyond the latest one's is refused with OldCommand.
 func (b *Book) Apply(index uint64, c Command) Answer {
@@ -60,6 +63,9 @@
 	}
 	b.last = index
 	set := 0
+	if c.List != nil {
+		set++
+	}
 	for _, is := range []bool{c.Propose != nil, c.Activate != nil, c.Withdraw != nil, c.Join != nil, c.Part != nil} {
 		if is {
 			set++
@@ -69,6 +75,8 @@
 		return Answer{Err: BadCommand.New(fmt.Sprintf("command %d", index), "it has %d members, not one", set)}
 	}
 	switch {
+	case c.List != nil:
+		return b.list(*c.List)
 	case c.Propose != nil:
 		return b.propose(*c.Propose)
 	case c.Activate != nil:
--- a/internal/agreement/book_test.go
+++ b/internal/agreement/book_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"example.org/micafront/internal/remedy"
+	"example.org/micafront/internal/roster"
 	"example.org/micafront/internal/testkit"
 )
 
@@ -198,7 +199,7 @@
 func anyCommand(t *rapid.T, b *Book) Command {
 	near := func(n uint64, what string) uint64 { return n + rapid.Uint64Range(0, 2).Draw(t, what) - min(n, 1) }
 	node := rapid.SampledFrom([]string{"a", "b", "c\u2028<"}).Draw(t, "node")
-	switch rapid.IntRange(0, 6).Draw(t, "command") {
+	switch rapid.IntRange(0, 7).Draw(t, "command") {
 	case 0, 1:
 		p := Propose{ID: rapid.SampledFrom([]string{"", "i", "j", "k", "l"}).Draw(t, "id"), Why: rapid.String().Draw(t, "why"),
 			Force: rapid.Bool().Draw(t, "force")}
@@ -218,6 +219,10 @@
 		return Command{Withdraw: &Withdraw{near(b.proposed, "number"), "w", map[string]Refusal{node: {Kind: "k"}}}}
 	case 5:
 		return Command{Join: &Join{node, rapid.Uint64Range(1, 4).Draw(t, "incarnation")}}
+	case 6:
+		entry := fmt.Sprintf(`{ "instanceId":"%s<", "lifecycle":%q }`, node,
+			rapid.SampledFrom([]string{roster.Ready, roster.Terminated, "odd"}).Draw(t, "lifecycle"))
+		return Command{List: &roster.Change{Base: near(b.Roster().Number(), "list"), Entries: []json.RawMessage{json.RawMessage(entry)}}}
 	}
 	return Command{Part: &Part{Node: node, Incarnation: rapid.Uint64Range(1, 4).Draw(t, "incarnation")}}
 }
--- a/internal/agreement/follower_test.go
+++ b/internal/agreement/follower_test.go
@@ -231,7 +231,7 @@
 }
 
 func TestGrantsThatDoNotCount(t *testing.T) {
-	good := func(s *script) Grant { return Grant{"n", 1, s.seq, 1, 1, "", 0, "", false, false, s.grant.Terms} }
+	good := func(s *script) Grant { return Grant{"n", 1, s.seq, 1, 1, "", 0, "", false, false, s.grant.Terms, 0} }
 	for name, change := range map[string]func(*script, *Granted){
 		"an earlier question's":    func(_ *script, g *Granted) { g.Grant.Seq-- },
 		"another process's":        func(_ *script, g *Granted) { g.Grant.Incarnation = 2 },
--- a/internal/agreement/offers.go
+++ b/internal/agreement/offers.go
@@ -1,6 +1,10 @@
 package agreement
 
-import "time"
+import (
+	"time"
+
+	"example.org/micafront/internal/roster"
+)
 
 // What each party offers. The types Book, Warden and Follower implement these; the proxy, the keeper's process and
 // the in-memory fleet are built against the interfaces.
@@ -14,12 +18,16 @@
 	Version(number uint64) (Version, bool)
 	Members() []Member // by node, then incarnation; not to be changed
 	History() []Record // of versions: proposed, active, withdrawn; the eldest first, bounded
+	// Roster is the agreed list of next hops. It is not to be changed but by commands, and replaced by Restore.
+	Roster() *roster.State
 	Snapshot() ([]byte, error)
 	Restore(snapshot []byte) error
 }
 
 // Command is a change of the Book. Exactly one member is set.
 type Command struct {
+	List *roster.Change `json:"list,omitempty"` // makes the agreed list of next hops the next one
+
 	Propose  *Propose  `json:"propose,omitempty"`
 	Activate *Activate `json:"activate,omitempty"`
 	Withdraw *Withdraw `json:"withdraw,omitempty"`
--- a/internal/agreement/snapshot.go
+++ b/internal/agreement/snapshot.go
@@ -22,6 +22,8 @@
 	Members  []Member        `json:"members"`
 	History  []Record        `json:"history"`
 	Answers  []answered      `json:"answers"`
+
+	List json.RawMessage `json:"list,omitempty"` // absent before the first one
 }
 
 // versionJSON hides a version's body behind its digest.
@@ -39,6 +41,9 @@
 		v.Body = Body{}
 		s.Versions = append(s.Versions, versionJSON{Version: v})
 	}
+	if err := b.writeList(&s); err != nil {
+		return nil, err
+	}
 	text, err := json.Marshal(s)
 	if err != nil {
 		return nil, BrokenSnapshot.Wrap("writing it", err)
@@ -101,6 +106,9 @@
 			return BrokenSnapshot.New("answers", "this release knows no error %.40q", a.Kind)
 		}
 	}
+	if err := n.readList(s); err != nil {
+		return err
+	}
 	*b = *n
 	return nil
 }
--- a/internal/agreement/warden.go
+++ b/internal/agreement/warden.go
@@ -175,6 +175,7 @@
 	active, _ := w.book.Active()
 	g := Grant{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Term: w.term, Active: active.Number, Digest: active.Digest,
 		Terms: active.Body.Fleet}
+	g.List = w.book.Roster().Number()
 	if p, ok := w.book.Proposed(); ok {
 		// Told to a node that refused it as well: it must know as long as it may become active.
 		g.Proposed, g.ProposedDigest, g.Forced = p.Number, p.Digest, p.Force
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -43,11 +43,16 @@
 )
 
 // limits bound how many calls of a kind are under way; what comes beyond them is refused at once.
-type limits struct{ renewals, proposals, versions, small, peers chan struct{} }
+type limits struct {
+	renewals, proposals, versions, small, peers chan struct{}
+
+	lists chan struct{}
+}
 
 func newLimits() limits {
 	n := func(n int) chan struct{} { return make(chan struct{}, n) }
-	return limits{renewals: n(4096), proposals: n(8), versions: n(256), small: n(64), peers: n(4 * maxKeepers)}
+	return limits{renewals: n(4096), proposals: n(8), versions: n(256), small: n(64), peers: n(4 * maxKeepers),
+		lists: n(maxWatches)}
 }
 
 // call is how one kind of request is served.
@@ -71,6 +76,7 @@
 	} {
 		mux.HandleFunc(pattern, k.serve(c))
 	}
+	mux.HandleFunc("GET "+listPath, k.serve(call{l.lists, 0, k.lists}))
 	mux.Handle("GET /metrics", k.met.handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		fault(w, BadRequest.New(r.Method+" "+r.URL.Path, "there is no such call"), 0)
@@ -268,6 +274,9 @@
 	if err == nil && got.Err != nil {
 		err = got.Err
 	}
+	if *k.discovery.addr.Load() == "" { // there may be one from earlier days, which nobody serves
+		got.Grant.List = 0
+	}
 	return got.Grant, err
 }
 
@@ -490,6 +499,8 @@
 	Members   []agreement.Member     `json:"members"`
 	Nodes     []agreement.NodeStatus `json:"nodes,omitempty"`    // of a keeper that leads
 	HoldsUp   []string               `json:"holds_up,omitempty"` // nodes that the proposal waits for
+
+	Lists *Lists `json:"lists,omitempty"`
 }
 
 // Peer is a keeper as the one that leads sees it.
@@ -533,6 +544,7 @@
 		Rejoining: c.node.Rejoining(), Active: head(c.book.Active()), Proposed: head(c.book.Proposed()),
 		Members: c.book.Members(), Nodes: c.ward.Status(c.now())}
 	s.HoldsUp = holding(s.Nodes)
+	s.Lists = c.listStatus()
 	holds := c.node.Matches()
 	for _, id := range slices.Sorted(maps.Keys(c.k.cfg.peers())) {
 		p := Peer{ID: id, Address: c.k.Addr(), Holds: holds[id]}
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -40,6 +40,8 @@
 	HeartbeatTicks int `json:"heartbeat_ticks,omitempty"`
 	// SnapshotEvery is after how many commands the log is cut; 0: 1,024.
 	SnapshotEvery uint64 `json:"snapshot_every,omitempty"`
+	// Discovery is where the keeper that leads follows discovery, for all proxies: a numeric address. Empty: none does.
+	Discovery string `json:"discovery,omitempty"`
 	// Rejoin is for a keeper whose data directory is gone: see quorum.Config. It says nothing where there is a log.
 	Rejoin bool `json:"-"`
 }
@@ -78,6 +80,11 @@
 	if n := len(c.Peers); n == 0 || n > maxKeepers {
 		bad("peers", "%d keepers are told, not 1 to %d", n, maxKeepers)
 	}
+	if c.Discovery != "" {
+		if err := config.Address(c.Discovery, false); err != nil {
+			bad("discovery", "%v", err)
+		}
+	}
 	seen := map[string]string{}
 	for _, id := range slices.Sorted(maps.Keys(c.Peers)) {
 		place, addr := "peers["+id+"]", c.Peers[id]
--- a/internal/keeper/errors.go
+++ b/internal/keeper/errors.go
@@ -25,6 +25,10 @@
 	OtherDigest  = remedy.NewKind("keeper/other-digest", "ask for a grant again: the version's number belongs to other contents")
 	LeaderUnwell = remedy.NewKind("keeper/leader-unreachable",
 		"see that keepers reach one another at the addresses of their files; repeat a proposal under the same id")
+	NoList = remedy.NewKind("keeper/no-list",
+		"nothing where the keepers have just begun: proxies ask discovery meanwhile; else see lists in /v1/status, and discovery")
+	DiscoveryFailed = remedy.NewKind("keeper/discovery-failed",
+		"see whether discovery runs there and what curl -sS http://ADDRESS/registry/instances answers from this keeper's machine")
 	ListenFailed = remedy.NewKind("keeper/listen-failed", "free the address, or tell the keeper another one")
 )
 
@@ -41,7 +45,7 @@
 var codes = map[*remedy.Kind]int{
 	quorum.NotLeading: 503, quorum.Uncertain: 503, quorum.Busy: 503, quorum.Broken: 503, Overloaded: 503, Stopping: 503,
 	LeaderUnwell: 503, TimedOut: 504, quorum.Unknown: 409, quorum.TooLarge: 413, agreement.TooLarge: 413, BadRequest: 400,
-	OtherDigest: 409, Withdrawn: 409,
+	OtherDigest: 409, Withdrawn: 409, NoList: 503,
 	agreement.StaleBase: 409, agreement.AlreadyProposed: 409, agreement.NotProposed: 409, agreement.UnknownVersion: 404,
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -11,6 +11,7 @@
 //	POST /v1/withdraw          an agreement.Withdraw; Proposed
 //	GET  /v1/status            the leader's Status; with ?local=1 that of the keeper that is asked
 //	GET  /v1/history           agreement.Records, of the keeper that is asked
+//	GET  /registry/instances   the list of next hops, from the keeper that leads, under discovery's own protocol
 //	GET  /metrics              figures, in Prometheus's format
 //
 // Neither callers nor keepers prove who they are: keepers listen where only the fleet and its operators can reach them.
@@ -66,6 +67,8 @@
 	leader   atomic.Uint64 // 0: none is known
 	changes  time.Duration // for a command to be committed
 
+	discovery *view
+
 	events chan func(*core)
 	end    chan struct{} // asks the owner to end
 	ended  chan struct{} // it has
@@ -90,6 +93,8 @@
 	moved    chan struct{}               // closed when another one leads, or none
 	term     uint64
 	fault    error
+
+	lists lists
 }
 
 type wait struct {
@@ -117,6 +122,7 @@
 	}
 	k := &Keeper{cfg: cfg, log: log, met: newMetrics(), limits: newLimits(), start: time.Now(), changes: changeTime,
 		events: make(chan func(*core), maxEvents), end: make(chan struct{}), ended: make(chan struct{}), listener: listener}
+	k.discovery = newView(cfg.Discovery)
 	var err error
 	if k.store, err = openStore(cfg.Data); err != nil {
 		return nil, err
@@ -181,6 +187,7 @@
 		return BadConfig.New("peers", "keepers %d became %d: the keepers of a fleet stay the same", then, now)
 	}
 	k.net.move(cfg.peers())
+	k.discover(cfg.Discovery)
 	return nil
 }
 
@@ -232,7 +239,8 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
-	_ = k.server.Shutdown(ctx) // calls that last longer are cut by Run
+	_, _ = ask(ctx, k, func(c *core) bool { c.lists.closing = true; return true }) // watches would last
+	_ = k.server.Shutdown(ctx)                                                     // calls that last longer are cut by Run
 	k.ending.Do(func() { close(k.end) })
 }
 
@@ -289,6 +297,7 @@
 func (k *Keeper) own(c *core) {
 	defer close(k.ended)
 	defer func() { k.fault = c.fault }()
+	defer func() { c.lists.leave() }()
 	debug.SetPanicOnFault(true) // the store's mapped file may be cut short under it
 	ticks := time.NewTicker(k.cfg.tick())
 	defer ticks.Stop()
@@ -368,6 +377,9 @@
 	c.steps = slices.DeleteFunc(c.steps, func(f func() bool) bool { return f() })
 	c.say()
 	c.k.leader.Store(c.node.Leader())
+	if c.lists.turn(c, out) && c.fault == nil {
+		c.turn()
+	}
 }
 
 // settled reports what a version that was proposed came to.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -569,6 +569,7 @@
 		{`"2":`, `"02":`, "peers[02]"},
 		{`"peers":{"1":"127.0.0.1:7001","2":"[::1]:7002"}`, `"peers":{}`, "0 keepers"},
 		{`"id":1`, `"id":1,"tick_ms":60000`, "tick_ms"},
+		{`"id":1`, `"id":1,"discovery":"localhost:7100"`, "discovery"},
 		{`"id":1`, `"id":1,"election_ticks":-1`, "election_ticks"},
 		{`"id":1`, `"id":1,"elction_ticks":5`, "elction_ticks"},
 		{`}}`, `}} 1`, "something follows"},
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -20,6 +20,8 @@
 	applied, waiting   prometheus.Gauge
 	active, proposed   prometheus.Gauge
 	members, unhandled prometheus.Gauge
+
+	lists listMetrics
 }
 
 func newMetrics() *metrics {
@@ -49,6 +51,7 @@
 		unhandled: gauge("events_waiting", "Events that wait for the owner.")}
 	m.registry.MustRegister(m.saved, m.committed, m.renewals, m.losses, m.refusals, m.hops, m.terms, m.leads, m.applied,
 		m.waiting, m.active, m.proposed, m.members, m.unhandled)
+	m.lists = newListMetrics(m.registry)
 	return m
 }
 
@@ -81,4 +84,5 @@
 		m.members: uint64(len(c.book.Members())), m.unhandled: uint64(len(c.k.events))} {
 		gauge.Set(float64(v))
 	}
+	m.lists.measure(c)
 }
--- a/internal/remedy/oncall/oncall_test.go
+++ b/internal/remedy/oncall/oncall_test.go
@@ -26,6 +26,7 @@
 	_ "example.org/micafront/internal/proxy"
 	_ "example.org/micafront/internal/quorum"
 	_ "example.org/micafront/internal/registry"
+	_ "example.org/micafront/internal/roster"
 	_ "example.org/micafront/internal/routing"
 )
 
--- a/internal/roster/offers.go
+++ b/internal/roster/offers.go
@@ -11,8 +11,8 @@
 
 // Lifecycles that discovery's protocol names. What is not Ready is a removal or a drain, which is acted on at once.
 const (
-	Ready      = "ready"
-	Draining   = "draining"
+	Ready      = "in_service"
+	Draining   = "terminating"
 	Terminated = "terminated" // gone; in changes only
 )
 
