Have proxies take their list from the keepers, and from discovery where none serves

Need: the keepers agree on a list; proxies asked discovery all the same. Change: roster.Source decides, pure, where a proxy asks: the keepers in turn, discovery itself once none has served for 2 s, back after a hold-off of its own. The client that reads discovery reads keepers. A keeper whose discovery is mute for 3.5 s ends its watches and refuses lists: left silent, its proxies asked discovery after 11 to 12 s, and 6 s are allowed. The harness gives each proxy a view of each keeper, and play has it on.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -110,8 +110,8 @@
 	// Forced means that the proposed version becomes active past nodes that refuse it.
 	Forced bool `json:"forced,omitempty"`
 	// Stranded means that the version in force was forced past this node, which could not prepare it.
-	Stranded bool  `json:"stranded,omitempty"`
-	Terms    Terms `json:"terms"` // of the version in force
-
-	List uint64 `json:"list,omitempty"` // the agreed list of next hops' number; 0: keepers have none
+	Stranded bool `json:"stranded,omitempty"`
+	// List is the number of the list that the keepers agree on; 0: they follow no discovery.
+	List  uint64 `json:"list,omitempty"`
+	Terms Terms  `json:"terms"` // of the version in force
 }
--- a/internal/fleettest/cost.go
+++ b/internal/fleettest/cost.go
@@ -23,6 +23,9 @@
 // stands, of two ends; a client has its own connection, one through the proxy's link to a next hop and one there.
 func (o Options) descriptors() uint64 {
 	links := o.Proxies*(len(poolNames)*o.PerPool+1+o.Keepers) + o.Keepers*o.Keepers
+	if o.Lists { // a view in front of each keeper for each proxy
+		links += o.Proxies * o.Keepers
+	}
 	return uint64(100 + 3*links + o.Proxies*(5*o.Clients+4))
 }
 
--- a/internal/fleettest/discovery.go
+++ b/internal/fleettest/discovery.go
@@ -24,14 +24,28 @@
 	entries  []standin.Entry
 	room     float64
 	filled   time.Time
-	calls    int
-	away     int
-	busiest  int // calls that came within one second
-	second   int64
-	inSecond int
+	calls    calls
+	keepers  calls // by keepers, which are not among calls
 	views    []*http.Server
 }
 
+// calls counts those that came from one kind of callers.
+type calls struct {
+	all, away int
+	busiest   int // that came within one second
+	second    int64
+	inSecond  int
+}
+
+func (c *calls) came(now time.Time) {
+	c.all++
+	if s := now.Unix(); s != c.second {
+		c.second, c.inSecond = s, 0
+	}
+	c.inSecond++
+	c.busiest = max(c.busiest, c.inSecond)
+}
+
 func newDiscovery(rate float64) (*discovery, error) {
 	d := &discovery{rate: rate, room: max(rate, 1), filled: time.Now()}
 	var err error
@@ -73,22 +87,17 @@
 	}
 }
 
-// take says whether there is room for a call, and where the registry is.
-func (d *discovery) take() (addr string, ok bool) {
+// take says whether there is room for a call of such callers, and where the registry is.
+func (d *discovery) take(of *calls) (addr string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.calls++
-	if s := now.Unix(); s != d.second {
-		d.second, d.inSecond = s, 0
-	}
-	d.inSecond++
-	d.busiest = max(d.busiest, d.inSecond)
+	of.came(now)
 	d.room = min(d.room+now.Sub(d.filled).Seconds()*d.rate, max(d.rate, 1))
 	d.filled = now
 	if d.rate > 0 {
 		if d.room < 1 {
-			d.away++
+			of.away++
 			return "", false
 		}
 		d.room--
@@ -96,13 +105,25 @@
 	return d.registry.Addr, true
 }
 
-// view listens for one proxy, to which the next hops are at other addresses.
-func (d *discovery) view(at func(id string) string) (addr string, err error) {
+// view listens for one caller, to which the next hops are at other addresses.
+func (d *discovery) view(of *calls, at func(id string) string) (addr string, err error) {
+	return d.listen(func(w http.ResponseWriter, q *http.Request) {
+		addr, ok := d.take(of)
+		if !ok {
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		relayList(w, q, addr, at)
+	})
+}
+
+// listen serves until discovery closes.
+func (d *discovery) listen(serve http.HandlerFunc) (addr string, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { d.serve(w, q, at) })}
+	srv := &http.Server{Handler: serve}
 	d.mu.Lock()
 	d.views = append(d.views, srv)
 	d.mu.Unlock()
@@ -110,17 +131,14 @@
 	return l.Addr().String(), nil
 }
 
-func (d *discovery) serve(w http.ResponseWriter, q *http.Request, at func(string) string) {
-	addr, ok := d.take()
-	if !ok {
-		http.Error(w, "busy", http.StatusServiceUnavailable)
-		return
-	}
+// relayList asks who serves lists at an address, and passes the answer on line by line with other addresses in it.
+func relayList(w http.ResponseWriter, q *http.Request, addr string, at func(string) string) {
 	ask, err := http.NewRequestWithContext(q.Context(), http.MethodGet, "http://"+addr+q.URL.RequestURI(), nil)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	ask.Close = true // the next process at this port is another one
 	answer, err := http.DefaultClient.Do(ask)
 	if err != nil { // it restarts
 		http.Error(w, err.Error(), http.StatusBadGateway)
@@ -130,7 +148,7 @@
 	w.WriteHeader(answer.StatusCode)
 	for in := bufio.NewReader(answer.Body); ; {
 		l, err := in.ReadBytes('\n')
-		if len(bytes.TrimSpace(l)) > 0 {
+		if answer.StatusCode == http.StatusOK && len(bytes.TrimSpace(l)) > 0 {
 			var bad error
 			if l, bad = renamed(l, at); bad != nil {
 				return
--- a/internal/fleettest/keepers.go
+++ b/internal/fleettest/keepers.go
@@ -59,11 +59,16 @@
 			peers[strconv.Itoa(j+1)] = l.Addr()
 		}
 		path := filepath.Join(w.Dir, name+".json")
-		if err := writeJSON(path, map[string]any{"id": k.ID, "listen": "127.0.0.1:0", "data": filepath.Join(w.Dir, name, "data"),
-			"peers": peers}); err != nil {
+		config := map[string]any{"id": k.ID, "listen": "127.0.0.1:0", "data": filepath.Join(w.Dir, name, "data"), "peers": peers}
+		var err error
+		if w.Lists {
+			if config["discovery"], err = w.keeperDiscovery(name); err != nil {
+				return err
+			}
+		}
+		if err := writeJSON(path, config); err != nil {
 			return err
 		}
-		var err error
 		if k.Process, err = newProcess(name, w.Programs["micafront-keeper"], w.Dir, " serves at "); err != nil {
 			return err
 		}
--- a/internal/fleettest/plan.go
+++ b/internal/fleettest/plan.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,8 +75,18 @@
 	}, func(w *World, _ int) error { return w.Net.Clear("proxy*/discovery", faultnet.Refuse) }},
 }
 
-// Draw draws a plan: about one event in every, each over before the end. Without keepers, none touches them.
-func Draw(seed uint64, length, every time.Duration, proxies, keepers, hops int) (plan []Event) {
+// Draw draws a plan: about one event in every, each over before the end. Without keepers, none touches them. DrawLists
+// also draws what happens between keepers and discovery, for a world whose keepers follow it.
+func Draw(seed uint64, length, every time.Duration, proxies, keepers, hops int) []Event {
+	return draw(happenings, seed, length, every, proxies, keepers, hops)
+}
+
+// DrawLists is described at Draw.
+func DrawLists(seed uint64, length, every time.Duration, proxies, keepers, hops int) []Event {
+	return draw(slices.Concat(happenings, cutOff), seed, length, every, proxies, keepers, hops)
+}
+
+func draw(from []happening, seed uint64, length, every time.Duration, proxies, keepers, hops int) (plan []Event) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	busy := map[string]time.Duration{}
 	between := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
@@ -84,7 +95,7 @@
 		if at+hold >= length {
 			return plan
 		}
-		h := happenings[rng.IntN(len(happenings))]
+		h := from[rng.IntN(len(from))]
 		many, touched := hops, h.kind
 		switch {
 		case h.keeper:
@@ -112,7 +123,7 @@
 // Run carries out a plan and returns once its last event is over.
 func (w *World) Run(plan []Event) error {
 	by := map[string]happening{}
-	for _, h := range happenings {
+	for _, h := range slices.Concat(happenings, cutOff) {
 		by[h.kind] = h
 	}
 	var wg sync.WaitGroup
--- a/internal/fleettest/play/main.go
+++ b/internal/fleettest/play/main.go
@@ -82,6 +82,7 @@
 		"is cold")
 	set.DurationVar(&f.Cold, "cold", 3*time.Second, "how long a next hop is cold")
 	set.Float64Var(&f.Discovery, "discovery", 50, "calls a second that discovery takes; 0: any number")
+	set.BoolVar(&f.Lists, "lists", true, "keepers follow discovery for all proxies")
 	set.DurationVar(&f.Within, "within", 2*time.Second, "the bound that the fleet agrees on")
 	set.DurationVar(&f.Know, "know", 10*time.Second, "how long a silent proxy holds up a version")
 	set.DurationVar(&f.every, "every", 2*time.Second, "between events, on average")
@@ -122,6 +123,7 @@
 	case f.blackout > 0 && (f.Keepers == 0 || len(f.seeds) > 1):
 		return f, errors.New("-blackout needs -keepers, and one seed")
 	}
+	f.Lists = f.Lists && f.Keepers > 0
 	if f.name = cmp.Or(f.name, "fleet-play"); f.blackout > 0 && f.name == "fleet-play" {
 		f.name = "fleet-blackout"
 	}
@@ -200,7 +202,11 @@
 		time.Since(began).Round(time.Millisecond))
 	length := time.Duration(f.seconds) * time.Second
 	if !f.calm {
-		r.plan = fleettest.Draw(f.Seed, length, f.every, f.Proxies, f.Keepers, 4*f.PerPool)
+		draw := fleettest.Draw
+		if f.Lists {
+			draw = fleettest.DrawLists
+		}
+		r.plan = draw(f.Seed, length, f.every, f.Proxies, f.Keepers, 4*f.PerPool)
 	}
 	if f.blackout > 0 {
 		r.plan = fleettest.Spare(r.plan, length/3, length/3+f.blackout)
@@ -321,7 +327,8 @@
 	line("| set-up time, median and 99 of 100 | %s, %s |", ms(figures.Quantile(setUps, 0.5)), ms(figures.Quantile(setUps,
 		0.99)))
 	line("| requests lost with a proxy that was killed | %d |", r.Lost)
-	line("| calls of discovery, turned away, in the busiest second | %d, %d, %d |", r.Calls, r.Away, r.Busiest)
+	line("| calls of discovery by proxies, turned away, in the busiest second | %d, %d, %d |", r.Calls, r.Away, r.Busiest)
+	line("| the same by keepers, in the busiest second | %d, %d |", r.KeeperCalls, r.KeepersBusiest)
 	line("| time that a proxy could not run, median and longest | %s, %s |", ms(figures.Quantile(stood, 0.5)),
 		ms(figures.Quantile(stood, 1)))
 	line("| rules broken | %d |", len(r.Broken))
--- a/internal/fleettest/play/result.go
+++ b/internal/fleettest/play/result.go
@@ -32,9 +32,10 @@
 	Excused    int             // of them, over the bound by a standstill
 	GivenUp    int             // of them, over a bound that Serve gives up
 	Tally      standin.Tally
-	Calls      int           // of discovery
+	Calls      int           // of discovery, by proxies
 	Away       int           // of these, turned away
 	Busiest    int           // of these, within one second
+	ByKeepers  int           // calls of discovery by keepers
 	Stood      time.Duration // the longest that a proxy could not run
 	Lasted     time.Duration // from the first process to the end of the last
 	Used       time.Duration // of processors, by the world's processes
@@ -126,7 +127,7 @@
 func (r *report) result() result {
 	out := result{Seed: r.Seed, Silence: r.Silence, Calm: r.calm, Broken: r.Broken, Took: r.took, Versions: len(r.Switches),
 		Lost: r.lost, Lines: r.Lines, Excused: len(r.Excused), GivenUp: r.givenUp, Tally: r.Tally, Calls: r.Calls, Away: r.Away,
-		Busiest: r.Busiest, Lasted: r.lasted, Used: r.used, Own: r.own, Memory: r.memory, Files: r.files}
+		Busiest: r.Busiest, ByKeepers: r.KeeperCalls, Lasted: r.lasted, Used: r.used, Own: r.own, Memory: r.memory, Files: r.files}
 	for _, o := range r.Overlaps {
 		if !o.First.IsZero() {
 			out.Longest = append(out.Longest, o.Longest)
@@ -215,6 +216,7 @@
 		sum.Tally.Failed += r.Tally.Failed
 		sum.Calls += r.Calls
 		sum.Away += r.Away
+		sum.ByKeepers += r.ByKeepers
 		sum.Busiest, sum.Stood = max(sum.Busiest, r.Busiest), max(sum.Stood, r.Stood)
 		sum.Used += r.Used
 		sum.Own += r.Own
--- a/internal/fleettest/world.go
+++ b/internal/fleettest/world.go
@@ -33,6 +33,7 @@
 	SetUp     time.Duration // what a connection costs a next hop; ten times as much while it is cold
 	Cold      time.Duration // how long a next hop is cold that has risen again
 	Discovery float64       // calls a second that it takes; 0: any number
+	Lists     bool          // keepers follow discovery, and proxies have their lists from them
 	Within    time.Duration // of the fleet's terms
 	Know      time.Duration
 	Silence   agreement.Silence // of the fleet's terms; empty: Hold
@@ -206,7 +207,7 @@
 		addrs[h.ID] = l.Addr()
 	}
 	at := func(id string) string { return addrs[id] }
-	view, err := w.discovery.view(at)
+	view, err := w.discovery.view(&w.discovery.calls, at)
 	if err != nil {
 		return err
 	}
@@ -224,7 +225,13 @@
 	if len(w.Keepers) > 0 {
 		var keepers []string
 		for _, k := range w.Keepers {
-			l, err := w.link(name, k.Name, k.Addr())
+			target := k.Addr()
+			if w.Lists {
+				if target, err = w.keeperView(k, at); err != nil {
+					return err
+				}
+			}
+			l, err := w.proxyKeeperLink(name, k, target)
 			if err != nil {
 				return err
 			}
@@ -233,6 +240,9 @@
 		config["fleet"] = map[string]any{"keepers": keepers, "node": name, "agree_within_ms": w.Within.Milliseconds(),
 			"know_for_ms": w.Know.Milliseconds(), "on_silence": cmp.Or(w.Silence, agreement.Hold)}
 	}
+	if w.Lists {
+		config["operator"] = "127.0.0.1:0"
+	}
 	path := filepath.Join(w.Dir, name+".json")
 	p := &Proxy{Index: i, config: path}
 	if p.Process, err = newProcess(name, w.Programs["micafront"], w.Dir, " serves at ", "EDGE_CONFIG="+path); err != nil {
@@ -447,7 +457,7 @@
 	Broken   []string // rules that were broken, in words; none: all is well
 	Refused  int      // connections that nobody took
 	Lost     int      // requests that a crash of their proxy explains
-	Calls    int      // of discovery
+	Calls    int      // of discovery, by proxies
 	Away     int      // of these, turned away
 	Busiest  int      // of these, within one second
 	Answers  []Answer
@@ -457,6 +467,8 @@
 	Standing map[string]time.Duration // by proxy, how long it could not run
 	InForce  map[string][]Change      // by proxy
 
+	KeeperCalls    int // of discovery, by keepers
+	KeepersBusiest int // of these, within one second
 }
 
 // Find says what the run came to so far.
@@ -497,6 +509,7 @@
 	}
 	w.discovery.mu.Lock()
 	defer w.discovery.mu.Unlock()
-	f.Calls, f.Away, f.Busiest = w.discovery.calls, w.discovery.away, w.discovery.busiest
+	f.Calls, f.Away, f.Busiest = w.discovery.calls.all, w.discovery.calls.away, w.discovery.calls.busiest
+	f.KeeperCalls, f.KeepersBusiest = w.discovery.keepers.all, w.discovery.keepers.busiest
 	return f
 }
--- a/internal/keeper/discovery.go
+++ b/internal/keeper/discovery.go
@@ -17,11 +17,13 @@
 const (
 	listPath     = "/registry/instances"
 	firstAnswer  = 2500 * time.Millisecond // until a call's first object or empty line
-	watchSilence = 4 * time.Second         // without one, until a watch is given up; an empty line comes every 2 s
+	watchSilence = 2500 * time.Millisecond // without one, until a watch is given up; an empty line comes every 2 s
 	askPause     = 100 * time.Millisecond  // before discovery is asked again, longer each time
 	askPauseMost = 4 * time.Second / 3     // and up to half as long again, by chance: 2 s
 	maxObject    = 16 << 20
-	discoverMute = 6 * time.Second // without a word of discovery's, until watches here fall silent too
+	// discoverMute is without a word of discovery's until this keeper serves no list: its proxies have to ask discovery
+	// themselves within 6 s, and seek another keeper for up to 2 s before they do (roster.Patience).
+	discoverMute = 3500 * time.Millisecond
 )
 
 // follower asks discovery for a keeper that leads, with one call at a time.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -86,6 +86,7 @@
 	k, err := New(w.cfgs[i], log, l)
 	w.must(err)
 	k.changes = w.changes
+	k.discovery.mute.Store(int64(time.Minute)) // a slow machine's share
 	w.at[i], w.ended[i] = k, make(chan error, 1)
 	go func() { w.ended[i] <- k.Run(); log.Close() }()
 }
--- a/internal/keeper/lists.go
+++ b/internal/keeper/lists.go
@@ -22,9 +22,8 @@
 
 const (
 	maxWatches = 4096
-	blankEvery = 2 * time.Second  // on a quiet watch
-	takeTime   = 4 * time.Second  // for a watcher to take what it is sent, or it is dropped
-	deadAfter  = 30 * time.Second // of silence, until a watch ends: its reader has gone elsewhere long before
+	blankEvery = 2 * time.Second // on a quiet watch
+	takeTime   = 4 * time.Second // for a watcher to take what it is sent, or it is dropped
 )
 
 // lists is the owner's part in the list of next hops: a keeper that leads follows discovery, has each change agreed on
@@ -62,11 +61,13 @@
 	fault atomic.Pointer[error]  // of the latest call, nil while it is well
 	news  atomic.Pointer[news]
 	open  atomic.Int64 // watches
+	mute  atomic.Int64 // discoverMute
 }
 
 func newView(addr string) *view {
 	v := &view{}
 	v.addr.Store(&addr)
+	v.mute.Store(int64(discoverMute))
 	v.news.Store(&news{next: make(chan struct{})})
 	return v
 }
@@ -77,6 +78,9 @@
 	return time.Since(k.start) - time.Duration(v.life.Load())
 }
 
+// isMute tells that discovery has said nothing for too long for this keeper to answer for its list.
+func (v *view) isMute(k *Keeper) bool { return v.silent(k) >= time.Duration(v.mute.Load()) }
+
 func (v *view) well(k *Keeper) {
 	v.spoke(k)
 	if v.fault.Swap(nil) != nil {
@@ -251,6 +255,8 @@
 func (k *Keeper) unserved(n *news) error {
 	place := fmt.Sprintf("keeper %d", k.cfg.ID)
 	switch leader := k.leader.Load(); {
+	case n.list != nil && n.list.Number() > 0 && k.discovery.isMute(k):
+		return NoList.New(place, "discovery has said nothing for %v", k.discovery.silent(k).Round(time.Millisecond))
 	case n.list != nil && n.list.Number() > 0:
 		return nil
 	case n.list != nil || leader == k.cfg.ID:
@@ -282,7 +288,7 @@
 	return nil
 }
 
-// watch sends what comes until the reader goes, does not take it in time, or this keeper serves no more. It holds the
+// watch sends what comes until the reader goes, does not take it in time, this keeper serves no more, or discovery is mute. It holds the
 // number that was sent and nothing that waits.
 func (k *Keeper) watch(w http.ResponseWriter, r *http.Request, n *news, sent uint64) {
 	term, early := n.term, uint64(0)
@@ -291,6 +297,8 @@
 	w.Header().Set("Content-Type", "application/json")
 	blanks := time.NewTicker(blankEvery)
 	defer blanks.Stop()
+	mute := time.NewTicker(discoverMute / 7)
+	defer mute.Stop()
 	for first := true; n.list != nil && n.term == term; first = false {
 		var text []byte
 		if whole := first && sent <= n.base; whole || sent != n.list.Number() {
@@ -322,9 +330,9 @@
 			case <-n.next:
 				ok = false
 			case <-blanks.C:
-				if silent := k.discovery.silent(k); silent < discoverMute {
-					text = []byte("\n")
-				} else if silent > deadAfter {
+				text = []byte("\n")
+			case <-mute.C:
+				if k.discovery.isMute(k) {
 					return
 				}
 			case <-r.Context().Done():
@@ -369,7 +377,7 @@
 		if fault != nil {
 			s.State, s.Fault = "failing", (*fault).Error()
 		}
-		if silent >= discoverMute {
+		if v.isMute(c.k) {
 			s.State = "silent"
 		}
 	}
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -110,9 +110,11 @@
 			if err != nil {
 				m.count.AskFailures++
 				m.warn("no grant", err)
+				m.p.lists.ungranted()
 				m.tell(agreement.AskFailed{Seq: a.Renewal.Seq})
 				return
 			}
+			m.p.lists.granted(g.List)
 			m.tell(agreement.Granted{Grant: g, Sent: sent})
 		})
 	case agreement.Prepare:
@@ -256,7 +258,7 @@
 
 // figures are for the operators.
 func (m *member) figures(b []byte) []byte {
-	return m.count.Figures(b, m.follower.State(m.p.loop.Now()))
+	return m.p.lists.figures(m.count.Figures(b, m.follower.State(m.p.loop.Now())))
 }
 
 // prepare begins to fetch a version and to make it ready.
--- /dev/null
+++ b/internal/proxy/lists.go
@@ -0,0 +1,143 @@
+package proxy
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"example.org/micafront"
+	"example.org/micafront/internal/config"
+	"example.org/micafront/internal/counters"
+	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/registry"
+	"example.org/micafront/internal/roster"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Lists: where a member of a fleet has its next hops' list from, the keepers or discovery itself. The source decides;
+// here its decisions are carried out by the client that reads either. What fails at a keeper is asked for again from here,
+// since the module's pauses are meant for discovery. Without a fleet record there is none of it.
+
+// keeperTimes are those of calls at keepers, which leave time to ask another one before discovery is. What discovery has to
+// tell counts as told 6 s after a watch fell silent, at a keeper too, so discovery must have been asked by then. Keepers send
+// an empty line every 2 s as well. Beside a silent watch none is begun: another keeper is asked, and this one again in turn.
+var keeperTimes = registry.Times{Call: time.Second, Ask: 2 * keeperSilence, Spread: time.Second, Silence: keeperSilence}
+
+const (
+	keeperSilence = 3500 * time.Millisecond
+	_             = uint64(6*time.Second - keeperSilence - roster.Patience) // it does not compile where that is below 0
+)
+
+// lists is a member's way to its list. Only the loop's goroutine touches it.
+type lists struct {
+	p         *Proxy
+	source    *roster.Source
+	keepers   []string
+	discovery string
+	count     counters.Lists
+	lease     time.Duration // of the record's own terms
+	grantedAt time.Duration
+	idle      bool // what was asked where the list is asked for has failed
+	wake      *evloop.Timer
+}
+
+// seekLists has a member of a fleet ask the keepers for its list. Their numbers do not compare with the known list's.
+func (p *Proxy) seekLists(c *config.Config) {
+	if c.Fleet == nil {
+		return
+	}
+	l := &lists{p: p, discovery: c.Discovery, keepers: slices.Clone(c.Fleet.Keepers), lease: c.Fleet.Terms.Lease(),
+		source: roster.NewSource(len(c.Fleet.Keepers), xxhash.Sum64String(c.Fleet.Node))}
+	p.lists = l
+	p.registry.Addr, p.registry.Generation = l.keepers[l.source.At()], 0
+	p.registry.Heard, p.registry.Failed = l.heard, l.failed
+	l.source.Tick(p.loop.Now())
+	l.follow()
+}
+
+// follow asks where the source says, and comes back when that may change by time alone.
+func (l *lists) follow() {
+	p := l.p
+	p.loop.Cancel(l.wake)
+	l.wake = nil
+	if due := l.source.Due(); due != 0 {
+		l.wake = p.loop.After(due-p.loop.Now(), func() {
+			l.source.Tick(p.loop.Now())
+			l.follow()
+		})
+	}
+	if l.source.Paused() {
+		return
+	}
+	at, addr, times := l.source.At(), l.discovery, registry.Usual
+	if at != roster.Discovery {
+		addr, times = l.keepers[at], keeperTimes
+	}
+	idle := l.idle
+	l.idle = false
+	p.registry.Times = times
+	if addr != p.registry.Addr {
+		l.count.Moves++
+		p.registry.Move(addr)
+	} else if idle {
+		p.registry.Watch(true)
+	}
+}
+
+// heard takes a list. The watch at the address before speaks until the new one does, which says nothing of that one.
+func (l *lists) heard(list registry.List, kind micafront.ListKind) {
+	if l.p.registry.Reached() {
+		l.idle = false
+		l.source.Heard(l.p.loop.Now())
+		l.follow()
+	}
+	l.p.hearList(list, kind)
+}
+
+func (l *lists) failed(err error) {
+	at := l.source.At()
+	if at == roster.Discovery {
+		l.p.listFailed(err)
+		return
+	}
+	l.count.KeeperFailures++
+	if errors.Is(err, registry.ErrBroken) {
+		l.p.count.ListBroken++
+	}
+	l.p.fleet.warn("no list from keeper "+l.p.registry.Addr, errors.Unwrap(err)) // without discovery's name
+	l.idle = true
+	l.source.Failed(l.p.loop.Now())
+	l.follow()
+}
+
+// granted is told with every grant.
+func (l *lists) granted(number uint64) {
+	l.grantedAt, l.count.Number = l.p.loop.Now(), number
+	l.source.Granted(l.grantedAt, number)
+	l.follow()
+}
+
+// ungranted is told when a question for a grant has failed.
+func (l *lists) ungranted() {
+	if now := l.p.loop.Now(); now-l.grantedAt >= l.lease {
+		l.source.Silent(now)
+		l.follow()
+	}
+}
+
+// moveLists takes where discovery and the keepers are by a configuration read again.
+func (p *Proxy) moveLists(c *config.Config) {
+	l := p.lists
+	if l == nil {
+		p.registry.Move(c.Discovery)
+		return
+	}
+	l.discovery = c.Discovery
+	if c.Fleet != nil {
+		l.keepers = slices.Clone(c.Fleet.Keepers)
+		l.source.Keepers(len(l.keepers))
+	}
+	l.follow()
+}
+
+func (l *lists) figures(b []byte) []byte { return l.count.Figures(b, l.source.At()) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,7 @@
 	count    counters.Counters
 
 	fleet *member // nil: the file alone has the rules
+	lists *lists  // nil: discovery alone has the list
 
 	news    []news // for the modules
 	turning bool
@@ -121,6 +122,7 @@
 	}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation, Named: len(c.Known.Instances) > 0,
 		Heard: p.hearList, Failed: p.listFailed, Noted: func(err error) { p.log.Warn(err.Error()) }, Seed: c.Seed}
+	p.seekLists(c)
 	p.memoryMB = c.MemoryMB
 	p.limitMemory()
 	inherited, will, link := p.inherit(c)
@@ -233,7 +235,7 @@
 			p.adopt(c.Settings, c.LoadIsDelay, c.Routes)
 		}
 		p.say("configuration read again: discovery at " + c.Discovery)
-		p.registry.Move(c.Discovery)
+		p.moveLists(c)
 	})
 }
 
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -27,7 +27,7 @@
 
 // bequest is what the old process hands over, beside the listening descriptor.
 type bequest struct {
-	Discovery string
+	Discovery string                     // or the keeper that the list is from
 	List      jsoniter.RawMessage        // in discovery's form
 	Module    micafront.State            // where the fleet is undivided
 	Pools     map[string]micafront.State // else of each pool
@@ -160,8 +160,8 @@
 		return
 	}
 	p.registry.Named = len(list.Instances) > 0
-	if p.registry.Generation = list.Generation; b.Discovery != c.Discovery {
-		p.registry.Generation = 0 // generations of two discoveries do not compare
+	if p.registry.Generation = list.Generation; b.Discovery != p.registry.Addr {
+		p.registry.Generation = 0 // generations of two discoveries do not compare, nor do keepers' with theirs
 	}
 	p.mapHops(list, micafront.SavedList)
 	p.owners.Hold(b.Held)
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -106,20 +106,34 @@
 
 // Move goes over to another discovery without a gap: the watch at the old address is still heard until the new
 // one has spoken, since what discovery has written counts as told. How that one ends is no failure. Generations
-// of two discoveries do not compare, so the new one is asked for everything.
+// of two discoveries do not compare, so the new one is asked for everything. Back to one whose watch is still heard, that
+// watch goes on: a call that came to nothing elsewhere costs discovery none.
 func (c *Client) Move(addr string) {
 	if addr == c.Addr {
 		return
 	}
+	back := c.former
+	if back != nil && back.addr != addr {
+		back = nil
+	}
+	left := c.Generation
 	c.Addr, c.Generation, c.moved = addr, 0, true
 	c.forgetSecond()
 	for _, k := range slices.Collect(maps.Keys(c.fetches)) {
 		k.stop() // its answer is no longer of use; the new discovery gives the one report
 		c.Fetch()
 	}
+	if back != nil {
+		if c.watch != nil {
+			c.watch.stop()
+		}
+		c.watch, c.former, c.Generation, c.moved = back, nil, back.left, back.left == 0
+		back.alive()
+		return
+	}
 	if w := c.watch; w != nil && w.spoken {
 		c.forgetFormer()
-		c.former = w
+		c.former, w.left = w, left
 		c.Loop.Cancel(w.quiet)
 	} else if w != nil {
 		w.stop()
@@ -129,6 +143,9 @@
 	}
 }
 
+// Reached tells that who answers at Addr has been heard since the last Move, so that what is told comes from there.
+func (c *Client) Reached() bool { return !c.moved }
+
 func (c *Client) forgetFormer() {
 	if c.former != nil {
 		c.former.stop()
@@ -196,10 +213,12 @@
 	limit  *evloop.Timer
 	quiet  *evloop.Timer // when a watch without a byte is asked for anew
 	path   string
+	addr   string
+	left   int64 // generation of the latest list that came from there, of a watch that Move has left
 }
 
 func (c *Client) call(path string, watch bool) *call {
-	k := &call{c: c, watch: watch, path: path}
+	k := &call{c: c, watch: watch, path: path, addr: c.Addr}
 	k.parser = httpin.New(k.body)
 	k.limit = c.Loop.After(c.times().Call, func() { k.fail(silent.New("", "no answer in time")) })
 	conn, err := c.Loop.Dial(c.Addr, k)
@@ -429,6 +448,7 @@
 		return err
 	}
 	if k == c.former {
+		k.left = l.Generation
 		c.Heard(l, kind)
 		return nil
 	}
--- a/internal/registry/client_test.go
+++ b/internal/registry/client_test.go
@@ -275,6 +275,31 @@
 	a.hears("1 of kind 1")
 }
 
+// Back from one that has nothing to say, the watch at the old discovery goes on without a call, from where it is by then.
+func TestMoveAndBack(t *testing.T) {
+	other := newAsking(t, soon)
+	a := newAsking(t, Times{Call: standin.Patience, Ask: standin.Patience, Spread: time.Second, Silence: standin.Patience})
+	addr := a.Addr
+	a.do(func() { a.Watch(true) })
+	watch := a.call("watch=1&from=1")
+	line := func(generation int) {
+		watch.say(standin.List(generation, false, standin.Entry{ID: "s-1"}.String()) + "\n")
+	}
+	line(2)
+	a.hears("2 of kind 0")
+	a.do(func() { a.Move(other.Addr) })
+	there := other.call("watch=1&from=0")
+	line(3)
+	a.hears("3 of kind 0")
+	a.do(func() { Equal(t, "reached", false, a.Reached()) })
+	a.do(func() { a.Move(addr) })
+	there.left()
+	a.do(func() { Equal(t, "from where", []any{true, int64(3)}, []any{a.Reached(), a.Generation}) })
+	line(4)
+	a.hears("4 of kind 0")
+	watch.stays()
+}
+
 // A poll that stays silent is asked again, once and without a report; its list may be written in any way.
 func TestMutePoll(t *testing.T) {
 	a := newAsking(t, soon)
