Gather meshes' publications at the keepers, and put their catalog into versions

Need: the catalog was a library; staff unified publications by hand and put a bound table into a version. Change: internal/federation, what keepers hold of meshes, pure; commands of the keepers' order; calls to publish, to set terms and to read names; the keeper that leads finds lost meshes and proposes the catalog as a version; the in-memory fleet publishes by the same code, 7 stories, an invariant and a planted fault.

--- a/internal/agreement/book.go
+++ b/internal/agreement/book.go
@@ -8,6 +8,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"example.org/micafront/internal/federation"
 	"example.org/micafront/internal/remedy"
 	"example.org/micafront/internal/roster"
 )
@@ -40,6 +41,7 @@
 	answers  []answered // the eldest first
 
 	roster *roster.State
+	fed    *federation.State // the same one for ever
 }
 
 // answered is what a proposal came to, as far as a repeat of it must be told.
@@ -54,7 +56,7 @@
 var _ Keeping = (*Book)(nil)
 
 // NewBook makes the Book of a fleet that has no version yet.
-func NewBook() *Book { return &Book{roster: roster.NewState()} }
+func NewBook() *Book { return &Book{roster: roster.NewState(), fed: federation.NewState()} }
 
 // Apply takes a command. An index that is not beyond the latest one's is refused with OldCommand.
 func (b *Book) Apply(index uint64, c Command) Answer {
@@ -63,10 +65,8 @@
 	}
 	b.last = index
 	set := 0
-	if c.List != nil {
-		set++
-	}
-	for _, is := range []bool{c.Propose != nil, c.Activate != nil, c.Withdraw != nil, c.Join != nil, c.Part != nil} {
+	for _, is := range []bool{c.Propose != nil, c.Activate != nil, c.Withdraw != nil, c.Join != nil, c.Part != nil,
+		c.List != nil, c.Mesh != nil} {
 		if is {
 			set++
 		}
@@ -85,6 +85,8 @@
 		return b.withdraw(*c.Withdraw)
 	case c.Join != nil:
 		return b.join(*c.Join)
+	case c.Mesh != nil:
+		return b.mesh(*c.Mesh)
 	}
 	return b.part(*c.Part)
 }
--- a/internal/agreement/offers.go
+++ b/internal/agreement/offers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"example.org/micafront/internal/federation"
 	"example.org/micafront/internal/roster"
 )
 
@@ -20,6 +21,7 @@
 	History() []Record // of versions: proposed, active, withdrawn; the eldest first, bounded
 	// Roster is the agreed list of next hops. It is not to be changed but by commands, and replaced by Restore.
 	Roster() *roster.State
+	Federation() federation.Keeping // of the meshes; just Apply changes it
 	Snapshot() ([]byte, error)
 	Restore(snapshot []byte) error
 }
@@ -33,6 +35,8 @@
 	Withdraw *Withdraw `json:"withdraw,omitempty"`
 	Join     *Join     `json:"join,omitempty"`
 	Part     *Part     `json:"part,omitempty"`
+
+	Mesh *federation.Change `json:"mesh,omitempty"`
 }
 
 // Propose puts a version up. ID makes it idempotent: a repeat of a proposal gets the first one's answer. Base is the
--- a/internal/agreement/snapshot.go
+++ b/internal/agreement/snapshot.go
@@ -23,7 +23,8 @@
 	History  []Record        `json:"history"`
 	Answers  []answered      `json:"answers"`
 
-	List json.RawMessage `json:"list,omitempty"` // absent before the first one
+	List       json.RawMessage `json:"list,omitempty"` // absent before the first one
+	Federation json.RawMessage `json:"federation,omitempty"`
 }
 
 // versionJSON hides a version's body behind its digest.
@@ -44,6 +45,10 @@
 	if err := b.writeList(&s); err != nil {
 		return nil, err
 	}
+	var err error
+	if s.Federation, err = b.meshes(); err != nil {
+		return nil, BrokenSnapshot.Wrap("writing it", err)
+	}
 	text, err := json.Marshal(s)
 	if err != nil {
 		return nil, BrokenSnapshot.Wrap("writing it", err)
@@ -72,6 +77,10 @@
 	}
 	n := &Book{last: s.Last, numbers: s.Numbers, active: s.Active, proposed: s.Proposed, members: s.Members, history: s.History,
 		answers: s.Answers}
+	var err error
+	if n.fed, err = b.withMeshes(s.Federation); err != nil {
+		return BrokenSnapshot.Wrap("federation", err)
+	}
 	for digest, body := range s.Bodies {
 		if checked, err := body.Checked("body " + digest); err != nil {
 			return BrokenSnapshot.Wrap("bodies", err)
@@ -109,6 +118,7 @@
 	if err := n.readList(s); err != nil {
 		return err
 	}
+	b.takeMeshes(n)
 	*b = *n
 	return nil
 }
--- a/internal/fleetsim/check.go
+++ b/internal/fleetsim/check.go
@@ -45,6 +45,10 @@
 	acked  map[string]uint64        // numbers that the desk was told, by the proposal's ID
 	ackAt  map[uint64]time.Duration // when it was first told the number
 	Acts   uint64
+
+	heard   map[string]word    // when a keeper that led heard a mesh last
+	held    map[string]holding // by name, in versions in force
+	checked uint64             // the latest version whose names were
 }
 
 type actOn struct{ zone, key string }
@@ -64,7 +68,8 @@
 
 func newChecks(f *Fleet) *checks {
 	return &checks{f: f, acts: map[actOn][]span{}, Spans: map[[2]uint64]*Overlap{}, books: map[uint64][]byte{},
-		digest: map[uint64]string{}, names: map[string]string{}, acked: map[string]uint64{}, ackAt: map[uint64]time.Duration{}}
+		digest: map[uint64]string{}, names: map[string]string{}, acked: map[string]uint64{}, ackAt: map[uint64]time.Duration{},
+		heard: map[string]word{}, held: map[string]holding{}}
 }
 
 // acted: (I1) nobody acts on a version longer than its Within after someone has acted on one that contradicts it.
@@ -140,6 +145,7 @@
 	if v, ok := k.book.Active(); ok {
 		c.sameVersion(k.Name, v)
 		c.active = max(c.active, v.Number)
+		c.enforced(k, v)
 	}
 }
 
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -11,6 +11,7 @@
 	"example.org/micafront/internal/agreement"
 	"example.org/micafront/internal/catalog"
 	"example.org/micafront/internal/footprint"
+	"example.org/micafront/internal/quorum"
 )
 
 // Config says what a fleet is made of.
@@ -37,11 +38,12 @@
 	Follower        func(agreement.Following) agreement.Following
 	Warden          func(agreement.Wardship, agreement.Keeping) agreement.Wardship
 	Unifier         func(catalog.Unifying) catalog.Unifying
-	Estimate        func(uint64) uint64 // of what a proxy needs for a switch
-	Unconfirmed     bool                // a keeper grants as soon as it takes itself to lead
-	SkipPrepare     bool                // a proxy acknowledges whatever it is told to prepare
-	LeaseFromAnswer bool                // a lease counts from the answer
-	ForgetfulDisk   bool                // a keeper's disk loses the last writes in a crash
+	Meshes          func(quorum.Warding) quorum.Warding // of keepers
+	Estimate        func(uint64) uint64                 // of what a proxy needs for a switch
+	Unconfirmed     bool                                // a keeper grants as soon as it takes itself to lead
+	SkipPrepare     bool                                // a proxy acknowledges whatever it is told to prepare
+	LeaseFromAnswer bool                                // a lease counts from the answer
+	ForgetfulDisk   bool                                // a keeper's disk loses the last writes in a crash
 }
 
 func (h *Hooks) follow(f agreement.Following) agreement.Following {
@@ -65,6 +67,13 @@
 	return u
 }
 
+func (h *Hooks) meshes(w quorum.Warding) quorum.Warding {
+	if h.Meshes != nil {
+		return h.Meshes(w)
+	}
+	return w
+}
+
 func (h *Hooks) estimate(need uint64) uint64 {
 	if h.Estimate != nil {
 		return h.Estimate(need)
@@ -77,7 +86,8 @@
 	Config
 	Keepers []*Keeper
 	Proxies []*Proxy
-	Desk    *Proc // the operator's
+	Meshes  []*Mesh // those that publish to keepers
+	Desk    *Proc   // the operator's
 	Net     *Net
 	Breach  *Breach // the first one; nothing runs after it
 	Unifier catalog.Unifying
@@ -272,6 +282,9 @@
 	for _, p := range f.Proxies {
 		out = append(out, &p.Proc)
 	}
+	for _, m := range f.Meshes {
+		out = append(out, &m.Proc)
+	}
 	return out
 }
 
--- a/internal/fleetsim/keeper.go
+++ b/internal/fleetsim/keeper.go
@@ -20,6 +20,7 @@
 	book      agreement.Keeping
 	warden    agreement.Wardship
 	office    *quorum.Office
+	meshes    *quorum.Meshes
 	led       uint64 // the term that it was last seen to lead in
 	asked     uint64 // number of the latest question
 	asks      map[uint64]question
@@ -72,6 +73,7 @@
 		return
 	}
 	k.office = quorum.NewOffice(k.node, k.warden)
+	k.serveMeshes(book)
 	k.settle()
 	k.tick()
 }
@@ -83,6 +85,7 @@
 		}
 		k.fatal(k.node.Tick())
 		k.office.Tick()
+		k.meshes.Tick()
 		k.settle()
 		k.tick()
 	})
@@ -114,6 +117,7 @@
 		again = len(k.shipped) > 0
 		k.shipped = k.shipped[:0]
 		k.outcome(out)
+		again = k.meshTurn(out) || again
 		if t := k.node.Term(); k.node.Settled() && k.led != t {
 			k.led = t
 			k.e.Note(k.Name, "leads", t, "")
@@ -198,7 +202,15 @@
 		})
 		return
 	}
-	if t, err := k.node.Propose(c); err == nil {
+	if c.Mesh != nil {
+		t, err := k.meshes.Order(k.Now(), *c.Mesh)
+		if err == nil {
+			k.orders[t] = reply
+			k.settle()
+		}
+		return
+	}
+	if t, err := k.node.Propose(k.completed(c)); err == nil {
 		k.orders[t] = reply
 		k.settle()
 	}
--- a/internal/fleetsim/plants.go
+++ b/internal/fleetsim/plants.go
@@ -6,6 +6,7 @@
 
 	"example.org/micafront/internal/agreement"
 	"example.org/micafront/internal/catalog"
+	"example.org/micafront/internal/quorum"
 )
 
 // plant is a fault that the explorer must find. It sits between the parts, never in them.
@@ -26,6 +27,7 @@
 	}}},
 	{"grant-unconfirmed", Hooks{Unconfirmed: true}},
 	{"forgetful-disk", Hooks{ForgetfulDisk: true}},
+	{"hearing-forgotten", Hooks{Meshes: func(w quorum.Warding) quorum.Warding { return forgetful{w} }}},
 }
 
 // Plant gives the hooks of a planted fault; false: there is none of that name.
@@ -98,6 +100,16 @@
 	return due
 }
 
+// forgetful takes meshes that it has not heard since it leads for silent all the while.
+type forgetful struct{ quorum.Warding }
+
+func (w forgetful) Lead(now time.Duration) {
+	w.Warding.Lead(now - meshSilence)
+	for ago := meshSilence - meshSilence/8; ago > 0; ago -= meshSilence / 8 { // it did not stand still all the while
+		w.Warding.Due(now - ago)
+	}
+}
+
 // holderLast forgets who holds a name, so that the exports' precedence goes before the holder in force.
 type holderLast struct{ catalog.Unifying }
 
--- a/internal/fleetsim/proxy.go
+++ b/internal/fleetsim/proxy.go
@@ -283,6 +283,14 @@
 	return p.follower.May(p.Now(), func() bool { return contested(p.force, p.next(), key) })
 }
 
+// Catalog is that of the version in force here; nil: it has none.
+func (p *Proxy) Catalog() *catalog.State {
+	if p.force == nil {
+		return nil
+	}
+	return p.force.catalog
+}
+
 // Pool is where the version that it acts on sends a key's connections; "": nowhere.
 func (p *Proxy) Pool(key string) string {
 	if p.force == nil {
--- a/internal/fleetsim/schedule.go
+++ b/internal/fleetsim/schedule.go
@@ -48,6 +48,7 @@
 	s.agree("I6: after the start", calm+f.Terms.Know/2+2*f.Link.LateBy)
 	calmly := s.agree("I6: a proposal without faults", Usual.Within+time.Second+2*f.Link.LateBy)
 	until := f.e.now + trouble
+	s.publishers(until)
 	s.again(300*time.Millisecond, 3*time.Second, until, s.fault)
 	s.again(500*time.Millisecond, 5*time.Second, until, s.command)
 	f.Run(trouble)
@@ -57,9 +58,11 @@
 		p.SetLimit(0)
 	}
 	// A blind proxy asks every 5 s, may end right after that, and is waited for then; and a keeper has to be elected.
-	healed := s.settle("I6: after all healed", Usual.Know+8*time.Second, f.Settled)
+	more := time.Duration(len(f.Meshes)) * 4 * time.Second // for a catalog that waits for its turn
+	healed := s.settle("I6: after all healed", Usual.Know+8*time.Second+more, f.Settled)
+	s.caught()
 	// Processes that ended in the troubles may still be waited for.
-	s.agree("I6: a proposal after all healed", Usual.Know+Usual.Within+time.Second)
+	s.agree("I6: a proposal after all healed", Usual.Know+Usual.Within+time.Second+more)
 	o := Outcome{Seed: seed, OnSilence: f.Terms.OnSilence, Steps: f.e.Steps, Acts: f.check.Acts, Versions: f.check.active,
 		Overlaps: f.check.Longest(), Digest: f.e.Digest(), Breach: f.Breach,
 		Calmly: calmly, Healed: healed, Why: map[string]uint64{}}
@@ -100,6 +103,9 @@
 	c.Keys = 4 + pick(12)
 	f := New(c)
 	meshes := []catalog.Mesh{{Name: "thies", Precedence: 1}, {Name: "dakar", Precedence: 2}, {Name: "caroni", Precedence: 3}}
+	if seed%3 == 0 {
+		meshes = nil
+	}
 	return &scenario{f: f, rand: f.e.Rand.IntN, draft: Draft{Routes: map[string]string{}, Heavy: map[string]int{},
 		Terms: f.Terms, Shuffle: true, Inputs: catalog.Inputs{Meshes: meshes}}}
 }
@@ -285,7 +291,9 @@
 			d.Terms.Within, d.Terms.Know = terms.Within, terms.Know
 		}
 	}
-	s.federate()
+	if !s.publishing() {
+		s.federate()
+	}
 	var before *agreement.Version
 	if v, ok := pick(s, s.f.Keepers).book.Active(); ok {
 		before = &v
--- a/internal/fleetsim/sim_test.go
+++ b/internal/fleetsim/sim_test.go
@@ -47,6 +47,7 @@
 		"lease-not-checked": {30, "I1"}, "lease-from-answer": {200, "I1"}, "prepare-skipped": {30, "I5"},
 		"wrong-precedence": {10, "I4"}, "first-come": {10, "I4"}, "estimate-halved": {30, "I5"},
 		"silence-ignored": {60, "I1"}, "grant-unconfirmed": {60, "I2"}, "forgetful-disk": {30, ""},
+		"hearing-forgotten": {30, "I7"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			hooks, ok := Plant(name)
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/federation"
 	"example.org/micafront/internal/quorum"
 	"example.org/micafront/internal/remedy"
 	"github.com/cenkalti/backoff/v5"
@@ -43,16 +44,12 @@
 )
 
 // limits bound how many calls of a kind are under way; what comes beyond them is refused at once.
-type limits struct {
-	renewals, proposals, versions, small, peers chan struct{}
-
-	lists chan struct{}
-}
+type limits struct{ renewals, proposals, versions, small, peers, lists, meshes chan struct{} }
 
 func newLimits() limits {
 	n := func(n int) chan struct{} { return make(chan struct{}, n) }
 	return limits{renewals: n(4096), proposals: n(8), versions: n(256), small: n(64), peers: n(4 * maxKeepers),
-		lists: n(maxWatches)}
+		lists: n(maxWatches), meshes: n(64)}
 }
 
 // call is how one kind of request is served.
@@ -72,6 +69,11 @@
 		"GET /v1/version/{number}": {l.versions, 0, k.version},
 		"GET /v1/status":           {l.small, 0, k.status},
 		"GET /v1/history":          {l.small, 0, k.history},
+		"POST /v1/publish":         {l.meshes, federation.MaxPublication + 64<<10, k.publish},
+		"POST /v1/terms":           {l.small, maxTerms, k.setTerms},
+		"GET /v1/terms":            {l.small, 0, k.terms},
+		"GET /v1/catalog":          {l.small, 0, k.names},
+		"GET /v1/catalog/{name}":   {l.small, 0, k.name},
 		"POST " + peerPath:         {l.peers, maxMessage, k.peerCall},
 	} {
 		mux.HandleFunc(pattern, k.serve(c))
@@ -344,6 +346,10 @@
 		seek:  within + k.changes,
 		again: []*remedy.Kind{quorum.NotLeading, quorum.Uncertain, quorum.Busy, LeaderUnwell, Stopping},
 		here: func(ctx context.Context) (result, error) {
+			p, err := k.complete(ctx, p)
+			if err != nil {
+				return result{}, err
+			}
 			if err := checkRules(p); err != nil {
 				return result{}, err
 			}
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"example.org/micafront/internal/config"
+	"example.org/micafront/internal/federation"
 	"example.org/micafront/internal/remedy"
 )
 
@@ -24,6 +25,7 @@
 	maxKeepers = 7
 	minTick    = time.Millisecond
 	maxTick    = 10 * time.Second
+	maxSilence = time.Hour
 )
 
 // Config is what a keeper is told at its start. A file of JSON holds the same members.
@@ -42,6 +44,8 @@
 	SnapshotEvery uint64 `json:"snapshot_every,omitempty"`
 	// Discovery is where the keeper that leads follows discovery, for all proxies: a numeric address. Empty: none does.
 	Discovery string `json:"discovery,omitempty"`
+	// MeshSilenceMS is after how long a mesh that publishes nothing is lost; 0: federation.MeshSilence.
+	MeshSilenceMS int `json:"mesh_silence_ms,omitempty"`
 	// Rejoin is for a keeper whose data directory is gone: see quorum.Config. It says nothing where there is a log.
 	Rejoin bool `json:"-"`
 }
@@ -107,9 +111,19 @@
 	if c.ElectionTicks < 0 || c.HeartbeatTicks < 0 || max(c.ElectionTicks, 1) > 10_000 {
 		bad("election_ticks", "%d, with heartbeats every %d, is no number of ticks", c.ElectionTicks, c.HeartbeatTicks)
 	}
+	if s := c.silence(); s < 0 || s > maxSilence {
+		bad("mesh_silence_ms", "%v is not within 0 to %v", s, maxSilence)
+	}
 	return errors.Join(errs...)
 }
 
+func (c Config) silence() time.Duration {
+	if c.MeshSilenceMS == 0 {
+		return federation.MeshSilence
+	}
+	return time.Duration(c.MeshSilenceMS) * time.Millisecond
+}
+
 func (c Config) tick() time.Duration {
 	if c.TickMS == 0 {
 		return 50 * time.Millisecond
--- a/internal/keeper/errors.go
+++ b/internal/keeper/errors.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/catalog"
+	"example.org/micafront/internal/federation"
 	"example.org/micafront/internal/quorum"
 	"example.org/micafront/internal/remedy"
 )
@@ -47,6 +49,8 @@
 	LeaderUnwell: 503, TimedOut: 504, quorum.Unknown: 409, quorum.TooLarge: 413, agreement.TooLarge: 413, BadRequest: 400,
 	OtherDigest: 409, Withdrawn: 409, NoList: 503,
 	agreement.StaleBase: 409, agreement.AlreadyProposed: 409, agreement.NotProposed: 409, agreement.UnknownVersion: 404,
+	federation.StaleTerms: 409, federation.TooLarge: 413, catalog.OldNews: 409, catalog.Contradiction: 409, catalog.UnknownMesh: 404,
+	catalog.UnknownService: 404,
 }
 
 // fault writes an error. All errors that reach here are of a kind; one that is not would be a fault of this program.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,6 +12,11 @@
 //	GET  /v1/status            the leader's Status; with ?local=1 that of the keeper that is asked
 //	GET  /v1/history           agreement.Records, of the keeper that is asked
 //	GET  /registry/instances   the list of next hops, from the keeper that leads, under discovery's own protocol
+//	POST /v1/publish           a catalog.Publication; Published, once it is committed or stands already
+//	POST /v1/terms             federation.Terms, made on the number in force; the same in force
+//	GET  /v1/terms             federation.Terms, of the keeper that is asked
+//	GET  /v1/catalog           its Catalog
+//	GET  /v1/catalog/{name}    its Meaning of a name
 //	GET  /metrics              figures, in Prometheus's format
 //
 // Neither callers nor keepers prove who they are: keepers listen where only the fleet and its operators can reach them.
@@ -83,6 +88,7 @@
 	book   agreement.Keeping
 	ward   agreement.Wardship
 	office *quorum.Office
+	meshes *quorum.Meshes
 
 	asked    uint64                         // number of the latest renewal
 	asks     map[uint64]chan<- quorum.Reply // renewals that wait
@@ -161,8 +167,10 @@
 		return nil, err
 	}
 	ward := agreement.NewWarden(book)
-	return &core{k: k, node: node, book: book, ward: ward, office: quorum.NewOffice(node, ward),
-		asks: map[uint64]chan<- quorum.Reply{}, waits: map[quorum.Ticket]wait{}, watchers: map[uint64][]chan<- settled{}, moved: make(chan struct{})}, nil
+	c := &core{k: k, node: node, book: book, ward: ward, office: quorum.NewOffice(node, ward),
+		asks: map[uint64]chan<- quorum.Reply{}, waits: map[quorum.Ticket]wait{}, watchers: map[uint64][]chan<- settled{}, moved: make(chan struct{})}
+	c.serveMeshes(book)
+	return c, nil
 }
 
 // tell puts raft's own words into the log; what it has to say on a calm day is for debugging.
@@ -307,6 +315,7 @@
 		case <-ticks.C:
 			c.fail(c.node.Tick())
 			c.office.Tick()
+			c.meshes.Tick()
 			k.met.measure(c)
 		case f := <-k.events:
 			f(c)
@@ -374,6 +383,7 @@
 			}
 		}
 	}
+	c.meshTurn(out)
 	c.steps = slices.DeleteFunc(c.steps, func(f func() bool) bool { return f() })
 	c.say()
 	c.k.leader.Store(c.node.Leader())
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -44,6 +44,7 @@
 	at      []*Keeper // nil: it is down
 	ended   []chan error
 	changes time.Duration // for a command to be committed
+	silence int           // of meshes, in milliseconds; 0: the usual
 }
 
 func newTrio(t *testing.T, n int, change ...func(*trio)) *trio {
@@ -62,7 +63,7 @@
 	}
 	for i := range n {
 		w.cfgs = append(w.cfgs, Config{ID: uint64(i + 1), Listen: "127.0.0.1:0", Data: filepath.Join(t.TempDir(), "data"),
-			Peers: peers, TickMS: 20})
+			Peers: peers, TickMS: 20, MeshSilenceMS: w.silence})
 		w.start(i, listeners[i])
 	}
 	t.Cleanup(func() {
--- a/internal/remedy/oncall/oncall_test.go
+++ b/internal/remedy/oncall/oncall_test.go
@@ -19,6 +19,7 @@
 	_ "example.org/micafront/internal/catalog"
 	_ "example.org/micafront/internal/config"
 	_ "example.org/micafront/internal/faultnet"
+	_ "example.org/micafront/internal/federation"
 	_ "example.org/micafront/internal/fleettest"
 	_ "example.org/micafront/internal/handover"
 	_ "example.org/micafront/internal/keeper"
--- a/stories/stories_test.go
+++ b/stories/stories_test.go
@@ -21,7 +21,7 @@
 
 // steps are all that stories are made of.
 func steps(w *world) []step {
-	return slices.Concat(given(w), when(w), then(w), federation(w), names(w))
+	return slices.Concat(given(w), when(w), then(w), federation(w), names(w), publishing(w))
 }
 
 type step struct {
@@ -411,6 +411,14 @@
 		strings.Replace(mesh, "m1 |", "m1 |\n   | mail | other | m2 |", 1) + `Then staff are told nothing of "mail"`,
 		mesh + `Then the catalog is the same in 0 other orders of its inputs`,
 	}
+	const published = fleet + "And the federation has the meshes\n   | mesh |\n   | thies |\n  And the mesh thies publishes " +
+		"\"mail\" of post to the keepers\nAnd 9 s pass\n"
+	wrongs = append(wrongs, published+`Then all proxies know "mail" as other's within 1 s`, published+`Then no proxy knows "mail"`,
+		published+`Then all proxies know "x" or "y" within 1 s`, published+`Then the mesh thies is lost within 1 s`,
+		published+`Then the mesh thies is told "catalog/collision" within 1 s`,
+		published+"And thies is cut off from all keepers\nAnd 20 s pass\nThen the mesh thies is not lost",
+		published+"And all keepers crash\nAnd the mesh thies publishes \"x\" of post to the keepers\n"+
+			"Then the keepers have taken what thies published within 2 s")
 	w := &world{}
 	for _, s := range append(then(w), names(w)...) {
 		if !slices.ContainsFunc(wrongs, func(wrong string) bool {
