Read a version's body in one place, and bind the catalog's services at the proxies

Need: keepers and proxies read a body by the same calls written twice, and routes could not name services: staff bound tables by hand. The proxy compared the bare peak with its limit, where the measurements find that a limit must leave a quarter beside it. A node's name had 255 bytes at some places, 256 at others. Change: internal/rulebook; fleet.mesh; what a catalog holds while it is read counts; footprint.Need; agreement.MaxNode; telemetry of the services that routes name. Tests end to end: a service with two homes, one of them lost by the next version.

--- a/cmd/micafront/fleet_test.go
+++ b/cmd/micafront/fleet_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/catalog"
+	"example.org/micafront/internal/routing"
 	"example.org/micafront/internal/standin"
 	. "example.org/micafront/internal/testkit"
 )
@@ -441,6 +443,69 @@
 	k.propose(w.version(number+1, byKey("a"), agreement.Terms{})) // a good one still comes through
 }
 
+// album is a service at two homes, as a catalog has it; lost is the mesh whose link is.
+func album(lost string) json.RawMessage {
+	s := catalog.State{Number: 5, Entries: []catalog.Entry{{Name: "album", Owner: "o", Contract: "c", Standing: catalog.Held, Cause: catalog.BySole}}}
+	for _, zone := range []string{"a", "b"} {
+		mesh := "mesh-" + zone
+		s.Entries[0].Homes = append(s.Entries[0].Homes, catalog.Home{Mesh: mesh, Zones: []string{zone}, Lost: mesh == lost,
+			Pool: routing.Pool{Name: "album." + mesh, Precedence: 1}}) // above the pools a and b, which take the same next hops
+	}
+	text, _ := json.Marshal(&s)
+	return text
+}
+
+// A route names a service: connections go to the home of the proxy's zone and by fallback to the other one, to the other one
+// at once when the next version's catalog has lost the former. A name that the catalog lacks makes a version unfit.
+func TestFleetServices(t *testing.T) {
+	t.Parallel()
+	w, k, conns := member(t, agreement.Terms{}, "")
+	of := func(number uint64, service string, state json.RawMessage) agreement.Version {
+		routes := strings.Replace(byKey("b"), `"to":[{"pool":"b","ppm":1000000}],"policy"`, `"to":[{"pool":"service:`+service+`","ppm":1000000}],"policy"`, 1)
+		v := w.version(number, routes, agreement.Terms{})
+		v.Body.Catalog = state
+		v.Digest = v.Body.Digest()
+		return v
+	}
+	enforce := func(v agreement.Version) {
+		t.Helper()
+		k.propose(v)
+		k.set(func(k *keeper) { k.active, k.proposed = v, agreement.Version{} })
+		k.until("in force", func(r agreement.Renewal) bool { return r.InForce == v.Number })
+	}
+	enforce(of(2, "album", album("")))
+	w.figures(map[string]string{"svc.catalog.number": "5", "svc.catalog.names": "1", "svc.catalog.collisions": "0",
+		"svc.catalog.album.pools": "album.mesh-a,album.mesh-b"})
+	w.connect(conns["a"], "alpha")
+	c := w.dial()
+	c.Say(opening("alpha"))
+	full := standin.Await(t, conns["a"])
+	full.Line()
+	full.Say("ERR FULL\r\n")
+	full.Close()
+	other := standin.Await(t, conns["b"])
+	other.Line()
+	other.Say("UP r\r\n")
+	Equal(t, "by fallback", "UP r", c.Line())
+
+	enforce(of(3, "album", album("mesh-a")))
+	w.figures(map[string]string{"svc.catalog.album.pools": "album.mesh-b,album.mesh-a",
+		"svc.catalog.album.why": "album is the service of o with contract c at mesh-a (a), lost, mesh-b (b), because nobody else claimed it, since state 0. It is held."})
+	w.connect(conns["b"], "alpha")
+	nobody(t, conns["a"])
+
+	for number, v := range map[uint64]agreement.Version{4: of(4, "notes", album("")), 5: of(5, "album", nil)} {
+		k.set(func(k *keeper) { k.proposed = v })
+		r := k.until("refused", func(r agreement.Renewal) bool { return r.Refused == number && r.Refusal != nil }).Refusal
+		if want := map[uint64]string{4: `"notes"`, 5: `"album"`}[number]; r.Kind != "proxy/broken-version" || !strings.Contains(r.Cause, want) {
+			t.Errorf("refusal %+v", r)
+		}
+		k.set(func(k *keeper) { k.proposed = agreement.Version{} })
+		k.until("withdrawn", func(r agreement.Renewal) bool { return r.Refusal == nil })
+	}
+	w.connect(conns["b"], "alpha")
+}
+
 // Whatever a keeper answers, the proxy goes on to the next one.
 func TestFleetKeeperTalksNonsense(t *testing.T) {
 	t.Parallel()
--- a/internal/agreement/book.go
+++ b/internal/agreement/book.go
@@ -29,6 +29,9 @@
 	stepWithdraw = "withdrawn"
 )
 
+// MaxNode bounds a node's name, in bytes, wherever it is told.
+const MaxNode = 255
+
 // Book is the state that all keepers hold alike. The zero Book is not usable; NewBook makes one.
 type Book struct {
 	last     uint64 // index of the latest command
@@ -258,7 +261,7 @@
 			heaviest = append(heaviest, cut(route, maxName))
 		}
 		r.Heaviest = heaviest
-		out[cut(node, maxName)] = r
+		out[cut(node, MaxNode)] = r
 	}
 	return out
 }
@@ -277,7 +280,7 @@
 func (b *Book) join(j Join) Answer {
 	place := fmt.Sprintf("node %.40q", j.Node)
 	if !nameable(j.Node) {
-		return Answer{Err: BadCommand.New(place, "a name has 1 to %d bytes of UTF-8, this one %d", maxName, len(j.Node))}
+		return Answer{Err: BadCommand.New(place, "a name has 1 to %d bytes of UTF-8, this one %d", MaxNode, len(j.Node))}
 	}
 	if latest, ok := latestOf(b.members, j.Node); ok && latest > j.Incarnation {
 		return Answer{Err: OldIncarnation.New(place, "incarnation %d is known, %d joins", latest, j.Incarnation)}
@@ -302,7 +305,7 @@
 	return Answer{}
 }
 
-func nameable(node string) bool { return node != "" && len(node) <= maxName && utf8.ValidString(node) }
+func nameable(node string) bool { return node != "" && len(node) <= MaxNode && utf8.ValidString(node) }
 
 func memberAt(members []Member, node string, incarnation uint64) (int, bool) {
 	return slices.BinarySearchFunc(members, Member{Node: node, Incarnation: incarnation}, compareMembers)
--- a/internal/agreement/book_test.go
+++ b/internal/agreement/book_test.go
@@ -83,7 +83,8 @@
 		"to activate nothing":             {nil, Command{Activate: &Activate{}}, NotProposed, "none waits"},
 		"to withdraw what is in force":    {nil, Command{Withdraw: &Withdraw{Number: 2}}, NotProposed, "none waits"},
 		"a former process":                {joined, Command{Join: &Join{"n", 4}}, OldIncarnation, "5 is known, 4 joins"},
-		"a node without a name":           {nil, Command{Join: &Join{"", 4}}, BadCommand, "1 to 256 bytes"},
+		"a node without a name":           {nil, Command{Join: &Join{"", 4}}, BadCommand, "1 to 255 bytes"},
+		"a node with too long a name":     {nil, Command{Join: &Join{string(big[:MaxNode+1]), 4}}, BadCommand, "this one 256"},
 		"a parting of a stranger":         {nil, Command{Part: &Part{Node: "n"}}, NotMember, `"n"`},
 		"a parting of another membership": {joined, Command{Part: &Part{"n", 5, 1}}, NotMember, "incarnation 5"},
 		"an empty command":                {nil, Command{}, BadCommand, "0 members"},
@@ -104,6 +105,7 @@
 		})
 	}
 	b := bookAt2(t)
+	applied(t, b, Command{Join: &Join{strings.Repeat("n", MaxNode), 4}})
 	if a := b.Apply(b.last, waits); !OldCommand.Of(a.Err) || b.proposed != 0 {
 		t.Errorf("a command again: %v", a.Err)
 	}
--- a/internal/agreement/warden_test.go
+++ b/internal/agreement/warden_test.go
@@ -318,7 +318,7 @@
 	if _, ok := w.Grant(0, r); ok {
 		t.Error("what it has not heard is granted")
 	}
-	for _, name := range []string{"", "\xff", string(make([]byte, maxName+1))} {
+	for _, name := range []string{"", "\xff", string(make([]byte, MaxNode+1))} {
 		if w.Hear(0, Renewal{Node: name, Incarnation: 1}) != nil || len(w.nodes) != 0 {
 			t.Errorf("%.10q is heard", name)
 		}
--- a/internal/catalog/bind.go
+++ b/internal/catalog/bind.go
@@ -30,7 +30,7 @@
 // several services in a split, all their homes are fallbacks. A policy whose fallback names a service falls back to its
 // homes in order, at that place.
 func (Rules) BindFor(set routing.Set, s *State, zone, mesh string) (routing.Set, error) {
-	if !names(&set) {
+	if len(Named(&set)) == 0 {
 		return set, nil
 	}
 	b := &binder{state: s, zone: zone, mesh: mesh, byPart: map[string]*bound{}, pools: map[string]*routing.Pool{},
@@ -58,13 +58,28 @@
 	return out, nil
 }
 
-// names reports whether a set names a service.
-func names(set *routing.Set) bool {
-	is := func(pool string) bool { return strings.HasPrefix(pool, Prefix) }
-	return slices.ContainsFunc(set.Policies, func(p routing.Policy) bool { return slices.ContainsFunc(p.Fallback, is) }) ||
-		slices.ContainsFunc(set.Routes, func(r routing.Route) bool {
-			return slices.ContainsFunc(r.To, func(p routing.Part) bool { return is(p.Pool) })
-		})
+// Named gives the services that a set's routes and policies name, in order, each once.
+func Named(set *routing.Set) []string {
+	var out []string
+	known := map[string]bool{}
+	add := func(pool string) {
+		if name, ok := strings.CutPrefix(pool, Prefix); ok && !known[name] {
+			known[name] = true
+			out = append(out, name)
+		}
+	}
+	for i := range set.Policies {
+		for _, pool := range set.Policies[i].Fallback {
+			add(pool)
+		}
+	}
+	for i := range set.Routes {
+		for _, p := range set.Routes[i].To {
+			add(p.Pool)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // bound is a service whose homes have become pools, by preference.
@@ -96,22 +111,15 @@
 		b.errs = append(b.errs, PoolTaken.New(place, "a pool of the site is called %q as well", part))
 		return nil
 	}
-	e, ok := b.state.Resolve(name)
-	if !ok {
+	e, homes := b.state.HomesFor(b.zone, b.mesh, name)
+	if e == nil {
 		b.errs = append(b.errs, UnknownService.New(place, "service %q: %s", name, b.state.Why(name)))
 		return nil
 	}
-	var homes []*Home
-	for i := range e.Homes {
-		if h := &e.Homes[i]; b.state.Sees(b.mesh, e, h) {
-			homes = append(homes, h)
-		}
-	}
 	if len(homes) == 0 {
 		b.errs = append(b.errs, UnknownService.New(place, "service %q: mesh %q imports none of its homes", name, b.mesh))
 		return nil
 	}
-	slices.SortFunc(homes, b.prefer)
 	o := &bound{name: e.Name}
 	for _, h := range homes {
 		pool := h.Pool
@@ -132,8 +140,25 @@
 	return o
 }
 
+// HomesFor gives what a name means and its homes, in the order in which proxies of a zone and a mesh ("": any) use them; nil
+// where it means nothing. They are not to be changed.
+func (s *State) HomesFor(zone, mesh, name string) (*Entry, []*Home) {
+	e, ok := s.Resolve(name)
+	if !ok {
+		return nil, nil
+	}
+	var homes []*Home
+	for i := range e.Homes {
+		if h := &e.Homes[i]; s.Sees(mesh, e, h) {
+			homes = append(homes, h)
+		}
+	}
+	slices.SortFunc(homes, func(x, y *Home) int { return prefer(zone, x, y) })
+	return e, homes
+}
+
 // prefer orders homes as proxies of the zone use them.
-func (b *binder) prefer(x, y *Home) int {
+func prefer(zone string, x, y *Home) int {
 	last := func(f func(h *Home) bool) int {
 		switch fx, fy := f(x), f(y); {
 		case fx == fy:
@@ -146,7 +171,7 @@
 	return cmp.Or(
 		last(func(h *Home) bool { return h.Lost }),
 		last(func(h *Home) bool { return h.DrainBy > 0 }),
-		last(func(h *Home) bool { return !slices.Contains(h.Zones, b.zone) }),
+		last(func(h *Home) bool { return !slices.Contains(h.Zones, zone) }),
 		last(func(h *Home) bool { return h.Origin != "" }),
 		cmp.Compare(y.Spare, x.Spare), cmp.Compare(x.Mesh, y.Mesh))
 }
--- a/internal/catalog/intake.go
+++ b/internal/catalog/intake.go
@@ -138,7 +138,7 @@
 	for _, m := range meshes {
 		p := t.byName[m.Name]
 		switch {
-		case !nameable(m.Name):
+		case !Nameable(m.Name):
 			t.add(BadName, m.Name, "", "a mesh is called %.140q", m.Name)
 			continue
 		case present[m.Name] > 1:
@@ -213,7 +213,8 @@
 	return len(patterns) == 0
 }
 
-func nameable(name string) bool {
+// Nameable reports whether a service, an alias or a mesh may be called so: 1 to 128 bytes of UTF-8 without blanks and dots.
+func Nameable(name string) bool {
 	return name != "" && len(name) <= maxName && !strings.Contains(name, ".") && routing.Nameable(name) && utf8.ValidString(name)
 }
 
@@ -455,7 +456,7 @@
 
 // faulty says what is wrong with a service's record.
 func faulty(s *Service) (string, *remedy.Kind) {
-	if !nameable(s.Name) {
+	if !Nameable(s.Name) {
 		return "a service's name is not fit", BadName
 	}
 	p, sel := &s.Pool, &s.Pool.Select
@@ -609,7 +610,7 @@
 	p.aliases = slices.DeleteFunc(slices.Compact(p.aliases), func(a Alias) bool {
 		short, of := split(a.To)
 		switch {
-		case !nameable(a.Name) || !nameable(short) || strings.Contains(a.To, ".") && !nameable(of):
+		case !Nameable(a.Name) || !Nameable(short) || strings.Contains(a.To, ".") && !Nameable(of):
 			t.add(BadName, mesh, a.Name, "an alias or what it is for is not fit as a name")
 		case a.Name == a.To:
 			t.add(AliasLoop, mesh, a.Name, "alias %s is for itself", a.Name)
@@ -682,7 +683,7 @@
 	for i := range list {
 		r := &list[i]
 		switch {
-		case !nameable(r.Name):
+		case !Nameable(r.Name):
 			t.add(BadName, r.Mesh, r.Name, "a ruling is on %.140q, which is no short name", r.Name)
 		case count[r.Name] > 1:
 			t.add(Contradiction, "", r.Name, "there are %d rulings on %s; none counts", count[r.Name], r.Name)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -20,6 +21,53 @@
 	}
 }
 
+// Held is the most that reading the state from its text holds beside that, in bytes: its parts, an array of entries that was
+// outgrown, and the index.
+func (s *State) Held() uint64 {
+	const text, list, slot = 16, 24, 100 // least allocation; a list's growth; an entry in the index, while that grows
+	var n uint64
+	texts := func(all ...string) {
+		for _, t := range all {
+			if len(t) > 0 {
+				n += uint64(len(t)+text-1) / text * text * 9 / 8 // size classes waste an eighth at most
+			}
+		}
+	}
+	lists := func(all ...[]string) {
+		for _, l := range all {
+			n += uint64(cap(l)) * list
+			texts(l...)
+		}
+	}
+	n = uint64(cap(s.Entries))*uint64(reflect.TypeFor[Entry]().Size())*9/5 + uint64(len(s.Entries))*slot
+	for i := range s.Entries {
+		e := &s.Entries[i]
+		texts(e.Name, e.Owner, e.Contract, e.Standing, e.Alias, e.Cause)
+		lists(e.By)
+		n += uint64(cap(e.Rivals))*uint64(reflect.TypeFor[Rival]().Size())*9/8 + uint64(cap(e.Homes))*uint64(reflect.TypeFor[Home]().Size())*9/8
+		for _, r := range e.Rivals {
+			texts(r.Mesh, r.Owner, r.As)
+		}
+		for j := range e.Homes {
+			h := &e.Homes[j]
+			texts(h.Mesh, h.Class, h.Origin, h.Pool.Name)
+			lists(h.Zones, h.Via, h.Pool.Was, h.Pool.Select.Zones, h.Pool.Select.MachineTypes, h.Pool.Select.IDPrefixes)
+			n += uint64(cap(h.Pool.Select.Cells)) * 8
+		}
+	}
+	n += uint64(cap(s.Meshes)) * uint64(reflect.TypeFor[Taken]().Size()) * 9 / 5
+	for i := range s.Meshes {
+		m := &s.Meshes[i]
+		texts(m.Mesh, m.Digest)
+		n += uint64(cap(m.Import)) * uint64(reflect.TypeFor[Import]().Size()) * 9 / 8
+		for _, in := range m.Import {
+			texts(in.From)
+			lists(in.Names)
+		}
+	}
+	return n
+}
+
 func (s *State) find(name string) *Entry {
 	if s.index != nil {
 		if i, ok := s.index[name]; ok {
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -9,6 +9,7 @@
 
 	"example.org/micafront"
 	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/catalog"
 	"example.org/micafront/internal/remedy"
 	"example.org/micafront/internal/routing"
 	"example.org/micafront/internal/wire"
@@ -22,6 +23,7 @@
 type Fleet struct {
 	Keepers []string // numeric addresses, asked in turn
 	Node    string   // by which the keepers know the proxy; no two proxies share one
+	Mesh    string   // whose imports say which homes of services it uses; "": all
 	Terms   agreement.Terms
 	// MemoryMB is the most that the heap may hold at the peak of a switch, in MiB; 0: three quarters of the process's
 	// limit, above which the garbage collector does not let it grow.
@@ -40,6 +42,7 @@
 type fleetJSON struct {
 	Keepers  []string `json:"keepers"`
 	Node     *string  `json:"node"`
+	Mesh     *string  `json:"mesh"`
 	Within   *int64   `json:"agree_within_ms"`
 	Know     *int64   `json:"know_for_ms"`
 	Silence  *string  `json:"on_silence"`
@@ -68,8 +71,13 @@
 	if f.Node != nil {
 		out.Node = *f.Node
 	}
-	if out.Node == "" || len(out.Node) > 255 || !routing.Nameable(out.Node) {
-		bad("node", "%q is empty, over 255 bytes, or has a blank or a control character", out.Node)
+	if out.Node == "" || len(out.Node) > agreement.MaxNode || !routing.Nameable(out.Node) {
+		bad("node", "%q is empty, over %d bytes, or has a blank or a control character", out.Node, agreement.MaxNode)
+	}
+	if f.Mesh != nil {
+		if out.Mesh = *f.Mesh; !catalog.Nameable(out.Mesh) {
+			bad("mesh", "%.140q is empty, over 128 bytes, or has a dot, a blank or a control character", out.Mesh)
+		}
 	}
 	if n := len(f.Keepers); n == 0 || n > mostKeepers {
 		bad("keepers", "%d addresses are told, not 1 to %d", n, mostKeepers)
--- a/internal/fleetsim/rules.go
+++ b/internal/fleetsim/rules.go
@@ -152,13 +152,13 @@
 	})
 }
 
-// need is what a switch holds at its peak, as the estimate tells.
+// need is the least limit for a switch, as the estimate tells its peak.
 func (f *Fleet) need(old, new *loaded) uint64 {
 	var e footprint.Estimate
 	if old != nil {
 		e = old.estimate
 	}
-	return f.Counter.Switch(e, new.estimate, new.text)
+	return footprint.Need(0, f.Counter.Switch(e, new.estimate, new.text))
 }
 
 // ServiceOf is a service as a mesh publishes it, whose next hops are in the zone of the mesh's name.
--- a/internal/footprint/offers.go
+++ b/internal/footprint/offers.go
@@ -30,3 +30,16 @@
 	Bytes uint64 `json:"bytes"`
 	Rules uint64 `json:"rules"`
 }
+
+// Spare is which part of the peak a limit must leave free beside it: with 1.25 times the peak a switch takes a quarter longer
+// and keeps the limit (docs/results/memory-limits.md).
+const Spare = 4
+
+// Need is the least limit for what is held beside a table and a switch's (or an upgrade's) peak, in bytes.
+func Need(beside, peak uint64) uint64 { return sum(beside, peak, peak/Spare) }
+
+// Reading is the most that is held while a body is read and its services are bound: the table in force, the text as it came and
+// as its members, the set, and the catalog (catalog.State.Held) with what it holds, in bytes.
+func Reading(old, new Estimate, text int, catalog uint64) uint64 {
+	return sum(old.Live, new.Live, 2*uint64(max(text, 0)), catalog)
+}
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -241,8 +241,8 @@
 	var renewal agreement.Renewal
 	if err := decode("renewal", body, &renewal); err != nil {
 		return err
-	} else if renewal.Node == "" || len(renewal.Node) > 255 {
-		return BadRequest.New("renewal: node", "its name has %d bytes, not 1 to 255", len(renewal.Node))
+	} else if renewal.Node == "" || len(renewal.Node) > agreement.MaxNode {
+		return BadRequest.New("renewal: node", "its name has %d bytes, not 1 to %d", len(renewal.Node), agreement.MaxNode)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), renewTime)
 	defer cancel()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -403,6 +403,15 @@
 		change(&p)
 		return p
 	}
+	names := func(service, state string) agreement.Propose {
+		return with(func(p *agreement.Propose) {
+			p.Body.Routing = json.RawMessage(`{"pools":[{"name":"a"}],"routes":[{"name":"r","to":[{"pool":"service:` + service + `","ppm":1000000}]}]}`)
+			p.Body.Catalog = json.RawMessage(state)
+		})
+	}
+	const state = `{"number":1,"at":1,"entries":[{"name":"album","owner":"o","contract":"c","since":1,"standing":"held","cause":"sole",
+		"homes":[{"mesh":"thies","zones":["a"],"pool":{"name":"album.thies","select":{}}}]}],
+		"meshes":[{"mesh":"lagos","import":[{"from":"dakar"}]},{"mesh":"thies"}]}`
 	strange, err := cbor.Marshal(frame{From: 7, To: 1})
 	w.must(err)
 	for _, c := range []struct {
@@ -421,6 +430,9 @@
 		{"POST /v1/propose", with(func(p *agreement.Propose) {
 			p.Body.Routing = json.RawMessage(`{"pools":[{"name":"a"}],"routes":[{"name":"r","to":[{"pool":"b"}]}],"default":"r"}`)
 		}), 422, "keeper/broken-rules", "b"},
+		{"POST /v1/propose", names("notes", ""), 422, "keeper/broken-rules", `the version has none, and its routes name service "notes"`},
+		{"POST /v1/propose", names("notes", state), 422, "keeper/broken-rules", `route r: service "notes"`},
+		{"POST /v1/propose", names("album", state), 422, "keeper/broken-rules", `for mesh lagos routing: route r: service "album"`},
 		{"POST /v1/propose", with(func(p *agreement.Propose) { p.Body.Routing = json.RawMessage(`{"pool":1}`) }),
 			422, "keeper/broken-rules", "pool"},
 		{"POST /v1/propose", with(func(p *agreement.Propose) { p.Body.Fleet.Within = 5 * time.Microsecond }),
@@ -434,6 +446,7 @@
 		{"POST /v1/propose", []byte(`{"id":"a"} {}`), 400, "keeper/bad-request", "proposal"},
 		{"POST /v1/renew", []byte(`{"node":`), 400, "keeper/bad-request", "renewal"},
 		{"POST /v1/renew", agreement.Renewal{}, 400, "keeper/bad-request", "node"},
+		{"POST /v1/renew", agreement.Renewal{Node: strings.Repeat("n", agreement.MaxNode+1)}, 400, "keeper/bad-request", "256 bytes, not 1 to 255"},
 		{"POST /v1/renew", bytes.Repeat([]byte(" "), maxRenewal+1), 400, "keeper/bad-request", "Content-Length"},
 		{"GET /v1/version/1?digest=0", nil, 409, "keeper/other-digest", "digest"},
 		{"GET /v1/version/9", nil, 404, "agreement/unknown-version", "9"},
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -12,6 +12,7 @@
 	"example.org/micafront/internal/evloop"
 	"example.org/micafront/internal/keeperlink"
 	"example.org/micafront/internal/routing"
+	"example.org/micafront/internal/rulebook"
 )
 
 // Fleet: this proxy's part in the agreement of a fleet on its rules. Which version is in force, and whether a connection
@@ -35,7 +36,8 @@
 	follower *agreement.Follower
 	link     *keeperlink.Link
 	count    *counters.Fleet
-	limitMB  int // the record's own memory limit; 0: none is told
+	limitMB  int    // the record's own memory limit; 0: none is told
+	mesh     string // whose homes of services are used
 
 	events   []agreement.Event // that the follower has yet to hear
 	handling bool
@@ -62,7 +64,7 @@
 		return
 	}
 	incarnation := uint64(time.Now().UnixMicro())
-	m := &member{p: p, count: &counters.Fleet{}, limitMB: c.Fleet.MemoryMB, link: keeperlink.New(p.loop, c.Fleet.Keepers, c.Fleet.Node),
+	m := &member{p: p, count: &counters.Fleet{}, limitMB: c.Fleet.MemoryMB, mesh: c.Fleet.Mesh, link: keeperlink.New(p.loop, c.Fleet.Keepers, c.Fleet.Node),
 		follower: agreement.NewFollower(c.Fleet.Node, incarnation, c.Fleet.Terms)}
 	m.contested = m.contests
 	p.fleet, p.count.Fleet = m, m.count
@@ -252,13 +254,14 @@
 // reload takes what a configuration read again says of the keepers.
 func (m *member) reload(f *config.Fleet) {
 	m.link.Move(f.Keepers)
-	m.limitMB = f.MemoryMB
+	m.limitMB, m.mesh = f.MemoryMB, f.Mesh
 	m.roomAt = 0
 }
 
 // figures are for the operators.
 func (m *member) figures(b []byte) []byte {
-	return m.p.lists.figures(m.count.Figures(b, m.follower.State(m.p.loop.Now())))
+	b = m.p.lists.figures(m.count.Figures(b, m.follower.State(m.p.loop.Now())))
+	return append(b, m.inForce.names...)
 }
 
 // prepare begins to fetch a version and to make it ready.
@@ -285,7 +288,8 @@
 			return
 		}
 		m.preparing = true
-		job := preparation{want: a, text: text, table: m.p.table, held: m.inForce.estimate, limit: m.heapLimit()}
+		job := preparation{want: a, text: text, table: m.p.table, held: m.inForce.estimate, limit: m.heapLimit(),
+			at: rulebook.Place{Zone: m.p.set.Zone, Mesh: m.mesh}}
 		go func() {
 			next, err := job.run()
 			_ = m.p.loop.Post(func() { m.prepared(a, next, err) })
--- a/internal/proxy/prepare.go
+++ b/internal/proxy/prepare.go
@@ -10,10 +10,10 @@
 
 	"example.org/micafront"
 	"example.org/micafront/internal/agreement"
-	"example.org/micafront/internal/config"
 	"example.org/micafront/internal/footprint"
 	"example.org/micafront/internal/remedy"
 	"example.org/micafront/internal/routing"
+	"example.org/micafront/internal/rulebook"
 )
 
 // Prepare: what makes a version ready, in a goroutine of its own that exists only while there is one to prepare. It never
@@ -36,6 +36,7 @@
 	loadIsDelay bool
 	table       *routing.Table
 	estimate    footprint.Estimate
+	names       []byte // what operators read of its catalog
 	beside      uint64 // live heap without any table or text, when it was prepared
 }
 
@@ -57,6 +58,7 @@
 	text  []byte
 	table *routing.Table     // in force
 	held  footprint.Estimate // of that table; Live 0: not estimated yet
+	at    rulebook.Place
 	limit uint64
 }
 
@@ -79,14 +81,12 @@
 		return nil, otherVersion.New(place, "the text is version %d with digest %.16s, not %.16s", v.Number, digest, j.want.Digest)
 	}
 	// What the fleet agreed on begins here: what is wrong from now on is so on every keeper.
-	out = &rules{number: v.Number, digest: j.want.Digest}
-	if out.set, out.loadIsDelay, err = config.DecodeSettings(v.Body.Settings); err != nil {
-		return nil, broken(v.Number, err)
-	}
-	set, err := config.DecodeRoutes(v.Body.Routing)
+	read, err := rulebook.Read(v.Body, j.at)
 	if err != nil {
-		return nil, broken(v.Number, fmt.Errorf("routing: %w", err))
+		return nil, broken(v.Number, err)
 	}
+	set := read.Set
+	out = &rules{number: v.Number, digest: j.want.Digest, set: read.Settings, loadIsDelay: read.LoadIsDelay, names: names(&read)}
 	var count footprint.Estimating = footprint.New()
 	text := len(j.text)
 	if j.held.Live == 0 {
@@ -94,10 +94,14 @@
 	}
 	out.estimate = count.Table(&set)
 	out.beside = live - min(live, j.held.Live+uint64(text))
-	if need := out.beside + count.Switch(j.held, out.estimate, text); j.limit > 0 && need > j.limit {
+	peak := count.Switch(j.held, out.estimate, text)
+	if read.Catalog != nil {
+		peak = max(peak, footprint.Reading(j.held, out.estimate, text, read.Catalog.Held()))
+	}
+	if need := footprint.Need(out.beside, peak); j.limit > 0 && need > j.limit {
 		return nil, j.tooHeavy(need, out.estimate.Heaviest)
 	}
-	v, j.text = agreement.Version{}, nil // not held beside the compile
+	v, read, j.text = agreement.Version{}, rulebook.Rules{}, nil // not held beside the compile
 	if out.table, err = routing.New(set); err != nil {
 		return nil, broken(j.want.Number, fmt.Errorf("routing: %w", err))
 	}
@@ -106,7 +110,7 @@
 
 func (j *preparation) tooHeavy(need uint64, heaviest []footprint.Weight) error {
 	r := agreement.Refusal{Kind: heavyVersion.Name, Estimate: need, Limit: j.limit,
-		Cause: fmt.Sprintf("the switch to version %d needs %d bytes of heap at its peak, the limit is %d", j.want.Number, need, j.limit)}
+		Cause: fmt.Sprintf("the switch to version %d needs a limit of %d bytes of heap, it is %d", j.want.Number, need, j.limit)}
 	for _, w := range heaviest {
 		r.Heaviest = append(r.Heaviest, w.Route)
 	}
--- /dev/null
+++ b/internal/proxy/prepare_test.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	stdjson "encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"example.org/micafront/internal/agreement"
+	"example.org/micafront/internal/catalog"
+	"example.org/micafront/internal/footprint"
+	"example.org/micafront/internal/routing"
+	"example.org/micafront/internal/rulebook"
+)
+
+const plainSettings = `{"Balancers":1,"Discovery":"subscribe","Categories":[{"Name":"feed","Aim":1,"GiveUp":2,"Credit":1,"Effect":"safe"}],
+	"Limits":{"AttemptsCap":1,"ConnectTimeout":1,"MaxOpen":1,"MaxRetryAfter":1},
+	"Invariants":{"AnswerSlack":0,"AskEvery":1,"Cold":1,"ColdFrom":1,"DrainGrace":1,"Fall":1,"OverloadFactor":1}}`
+
+// A version is refused unless its limit leaves a quarter of the peak free, and a limit that does is enough.
+func TestALimitLeavesAQuarterOfThePeakFree(t *testing.T) {
+	var routes []string
+	for i := range 20_000 {
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","match":{"key":{"exact":["k%[1]d"]}},"to":[{"pool":"a","ppm":1000000}]}`, i))
+	}
+	b := agreement.Body{Settings: stdjson.RawMessage(plainSettings),
+		Routing: stdjson.RawMessage(`{"pools":[{"name":"a"}],"routes":[` + strings.Join(routes, ",") + `]}`)}
+	v := agreement.Version{Number: 2, Digest: b.Digest(), Body: b}
+	text, err := stdjson.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := routing.New(routing.Set{Pools: []routing.Pool{{Name: "a"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := func(limit uint64) (*rules, agreement.Refusal) {
+		t.Helper()
+		j := preparation{want: agreement.Prepare{Number: 2, Digest: v.Digest}, text: text, table: table, limit: limit}
+		out, err := j.run()
+		var no unfit
+		if err != nil && !asUnfit(err, &no) {
+			t.Fatal(err)
+		}
+		return out, no.Refusal
+	}
+	out, _ := run(0)
+	if out == nil {
+		t.Fatal("refused without a limit")
+	}
+	count := footprint.New()
+	peak := count.Switch(count.Table(&table.Set), out.estimate, len(text))
+	out = nil
+	_, told := run(1)
+	if want := footprint.Need(told.Estimate-peak-peak/4, peak); told.Kind != heavyVersion.Name || told.Estimate != want ||
+		!strings.Contains(told.Cause, fmt.Sprintf("%d bytes of heap, it is 1", told.Estimate)) {
+		t.Fatalf("refusal %+v for a peak of %d", told, peak)
+	}
+	// What is alive beside it differs from run to run by far less than an eighth of this peak.
+	if _, no := run(told.Estimate - peak/8); no.Kind != heavyVersion.Name || no.Estimate <= no.Limit {
+		t.Errorf("a limit of 1.125 times the peak: refusal %+v", no)
+	}
+	if out, no := run(told.Estimate + peak/8); out == nil {
+		t.Errorf("a limit of 1.375 times the peak: refusal %+v", no)
+	}
+}
+
+// Whatever a catalog has in its names and words, the figures stay a name=value line each, and bounded.
+func TestFiguresOfNamesAreLines(t *testing.T) {
+	r := rulebook.Rules{Catalog: &catalog.State{Number: 3, Entries: []catalog.Entry{{Name: "a", Rivals: []catalog.Rival{{}}}, {Name: "b"}}}}
+	for i := range 100 {
+		r.Services = append(r.Services, rulebook.Service{Name: fmt.Sprintf("a=%02d\nx", i), Pools: []string{"p\r.q", "r"},
+			Why: strings.Repeat("é\n", 4000)})
+	}
+	lines := strings.Split(strings.TrimSuffix(string(names(&r)), "\n"), "\n")
+	if len(lines) != 3+2*mostNames {
+		t.Fatalf("%d lines", len(lines))
+	}
+	for i, want := range []string{"svc.catalog.number=3", "svc.catalog.names=2", "svc.catalog.collisions=1", "svc.catalog.a%3D00 x.pools=p .q,r"} {
+		if lines[i] != want {
+			t.Errorf("line %d is %q", i, lines[i])
+		}
+	}
+	for _, l := range lines {
+		if name, value, ok := strings.Cut(l, "="); !ok || len(name) > 64 || len(value) > mostWords || strings.ContainsAny(value, "\r\n") {
+			t.Errorf("%.80q is no line", l)
+		}
+	}
+	if got := names(&rulebook.Rules{}); got != nil {
+		t.Errorf("without a catalog: %q", got)
+	}
+}
