--- a/internal/rulebook/rulebook.go
+++ b/internal/rulebook/rulebook.go
@@ -13,9 +13,6 @@
 
 var _ Reading = Read
 
-// maxZones bounds the zones of homes that Places gives.
-const maxZones = 64
-
 // Read is described at Reading.
 func Read(b agreement.Body, at Place) (Rules, error) {
 	r, err := Decode(b)
@@ -65,41 +62,6 @@
 	return r, nil
 }
 
-// Places are those whose proxies may read the rules differently: no mesh and each one that the catalog knows, and the zones of
-// homes, 64 at most, since a zone only changes which home goes first.
-func (r Rules) Places() []Place {
-	out := []Place{{}}
-	if r.Catalog == nil {
-		return out
-	}
-	for i := range r.Catalog.Meshes {
-		out = append(out, Place{Mesh: r.Catalog.Meshes[i].Mesh})
-	}
-	zones := map[string]bool{"": true}
-	for i := range r.Catalog.Entries {
-		for _, h := range r.Catalog.Entries[i].Homes {
-			for _, zone := range h.Zones {
-				if !zones[zone] && len(zones) <= maxZones {
-					zones[zone] = true
-					out = append(out, Place{Zone: zone})
-				}
-			}
-		}
-	}
-	return out
-}
-
-// String names a place in errors.
-func (p Place) String() string {
-	var words []string
-	for _, w := range [][2]string{{"zone", p.Zone}, {"mesh", p.Mesh}} {
-		if w[1] != "" {
-			words = append(words, fmt.Sprintf("%s %.140s", w[0], w[1]))
-		}
-	}
-	return strings.Join(words, ", ")
-}
-
 // part names the part of a body that an error is of, unless it does so itself.
 func part(name string, err error) error {
 	if strings.HasPrefix(err.Error(), name+": ") {
