--- a/internal/fleettest/keepers.go
+++ b/internal/fleettest/keepers.go
@@ -59,7 +59,7 @@
 			peers[strconv.Itoa(j+1)] = l.Addr()
 		}
 		path := filepath.Join(w.Dir, name+".json")
-		config := map[string]any{"id": k.ID, "listen": "127.0.0.1:0", "data": filepath.Join(w.Dir, name, "data"), "peers": peers}
+		config := map[string]any{"id": k.ID, "listen": keeperHost + ":0", "data": filepath.Join(w.Dir, name, "data"), "peers": peers}
 		var err error
 		if w.Lists {
 			if config["discovery"], err = w.keeperDiscovery(name); err != nil {
--- a/internal/fleettest/world.go
+++ b/internal/fleettest/world.go
@@ -219,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	config := map[string]any{"name": name, "listen": "127.0.0.1:0", "discovery": disco.Addr(),
+	config := map[string]any{"name": name, "listen": proxyHost(i) + ":0", "discovery": disco.Addr(),
 		"seed": fmt.Sprintf("%x", w.Seed+uint64(i)), "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
 		"settings": json.RawMessage(settings), "routing": routing(1)}
 	if len(w.Keepers) > 0 {
@@ -241,7 +241,7 @@
 			"know_for_ms": w.Know.Milliseconds(), "on_silence": cmp.Or(w.Silence, agreement.Hold)}
 	}
 	if w.Lists {
-		config["operator"] = "127.0.0.1:0"
+		config["operator"] = staffHost + ":0"
 	}
 	path := filepath.Join(w.Dir, name+".json")
 	p := &Proxy{Index: i, config: path}
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -84,7 +84,7 @@
 	defer j.mu.Unlock()
 	j.Tally.Answers++
 	if j.answers[request]++; j.answers[request] > 1 {
-		j.breach("request %s has %d final answers", request, j.answers[request])
+		j.breach("request %s has %d final answers, the latest %q", request, j.answers[request], word)
 	}
 	switch word {
 	case "UP":
