Write once what the keepers' lists and meshes, the harness and the reading did twice

Need: reading the change again. Measured: tests of keeper, registry, rulebook, proxy and remedy under -race, and the harness's lists, pass.

--- a/internal/fleettest/lists.go
+++ b/internal/fleettest/lists.go
@@ -74,6 +74,11 @@
 
 // Figured waits until all of some proxies tell a figure.
 func (w *World) Figured(name, want string, at []*Proxy) error {
+	return w.figured(name, want, at, func(got string) bool { return got == want })
+}
+
+// figured is that where several values will do; want says which.
+func (w *World) figured(name, want string, at []*Proxy, ok func(string) bool) error {
 	return w.each(at, func(p *Proxy) error {
 		ctx, cancel := context.WithTimeout(w.ctx, standin.Patience)
 		defer cancel()
@@ -82,7 +87,7 @@
 			var err error
 			if got, err = w.figure(ctx, p, name); err != nil {
 				got = err.Error()
-			} else if got == want {
+			} else if ok(got) {
 				return nil
 			}
 		}
@@ -120,17 +125,9 @@
 
 // AtKeepers waits until proxies have their lists from keepers; AtDiscovery, until they have them from discovery.
 func (w *World) AtKeepers(at []*Proxy) error {
-	return w.each(at, func(p *Proxy) error {
-		ctx, cancel := context.WithTimeout(w.ctx, standin.Patience)
-		defer cancel()
-		for ; ctx.Err() == nil; pause(ctx, 20*time.Millisecond) {
-			if from, err := w.figure(ctx, p, "svc.fleet.list_from"); err == nil {
-				if _, err := strconv.Atoi(from); err == nil {
-					return nil
-				}
-			}
-		}
-		return fmt.Errorf("%s never asked a keeper for its list", p.Name)
+	return w.figured("svc.fleet.list_from", "a keeper's place", at, func(got string) bool {
+		_, err := strconv.Atoi(got)
+		return err == nil
 	})
 }
 
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -296,7 +296,12 @@
 	}); err != nil {
 		return agreement.Answer{}, k.uncertain(err)
 	}
-	got, err := await(ctx, k, landed)
+	return k.landed(ctx, landed)
+}
+
+// landed waits for what a command that the owner has came to.
+func (k *Keeper) landed(ctx context.Context, from <-chan outcome) (agreement.Answer, error) {
+	got, err := await(ctx, k, from)
 	err = k.uncertain(err)
 	if err == nil {
 		err = got.err
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -387,7 +387,8 @@
 	c.steps = slices.DeleteFunc(c.steps, func(f func() bool) bool { return f() })
 	c.say()
 	c.k.leader.Store(c.node.Leader())
-	if c.lists.turn(c, out) && c.fault == nil {
+	c.lists.turn(c, out)
+	if c.fault == nil && c.node.HasWork() { // of what meshes or lists have put into the order
 		c.turn()
 	}
 }
--- a/internal/keeper/lists.go
+++ b/internal/keeper/lists.go
@@ -104,15 +104,15 @@
 	}
 }
 
-// turn does for lists what follows from the node's work; true: it has made more.
-func (l *lists) turn(c *core, out quorum.Outcome) bool {
+// turn does for lists what follows from the node's work.
+func (l *lists) turn(c *core, out quorum.Outcome) {
 	addr := *c.k.discovery.addr.Load()
 	serves := c.node.Settled() && addr != "" && !l.closing
 	if l.term != 0 && (!serves || l.term != c.node.Term()) {
 		l.end(c)
 	}
 	if !serves {
-		return false
+		return
 	}
 	if l.term == 0 {
 		*l = lists{term: c.node.Term(), base: c.book.Roster().Number(), told: map[string]json.RawMessage{}, former: l.former}
@@ -142,7 +142,7 @@
 	if l.shown != c.book.Roster().Number() {
 		l.show(c)
 	}
-	return l.decide(c)
+	l.decide(c)
 }
 
 func idOf(text json.RawMessage) string {
@@ -214,29 +214,28 @@
 	return nil
 }
 
-// decide puts a change into the order, where there is one and none is under way; true: it has.
-func (l *lists) decide(c *core) bool {
+// decide puts a change into the order, where there is one and none is under way.
+func (l *lists) decide(c *core) {
 	if l.flight != (quorum.Ticket{}) || l.pending == nil && len(l.told) == 0 {
-		return false
+		return
 	}
 	list := c.book.Roster()
 	change, ok, err := list.Next(l.pending, l.whole)
 	if err != nil { // of parts that were each taken
 		c.k.discovery.failed(c.k, err)
 		l.pending, l.whole = nil, false
-		return false
+		return
 	}
 	change = list.Again(change, slices.Collect(maps.Keys(l.told)))
 	if !ok && len(change.Entries) == 0 {
 		l.pending, l.whole = nil, false
-		return false
+		return
 	}
 	t, err := c.node.Propose(agreement.Command{List: &change})
 	if err != nil {
-		return false // the next turn tries again, while this keeper leads
+		return // the next turn tries again, while this keeper leads
 	}
 	l.flight, l.pending, l.whole = t, nil, false
-	return true
 }
 
 // line is an object as a watch is sent it.
--- a/internal/keeper/meshes.go
+++ b/internal/keeper/meshes.go
@@ -43,12 +43,6 @@
 			})
 		}()
 	}
-	if c.node.HasWork() { // it has a turn of its own
-		select {
-		case c.k.events <- func(*core) {}:
-		default: // others wait for a turn already
-		}
-	}
 }
 
 // post gives the owner something to do.
@@ -139,15 +133,8 @@
 				return result{}, k.uncertain(err)
 			}
 			for _, landed := range g.landed {
-				got, err := await(ctx, k, landed)
-				if err == nil {
-					err = got.err
-				}
-				if err == nil {
-					err = got.answer.Err
-				}
-				if err != nil {
-					return result{}, k.uncertain(err)
+				if _, err := k.landed(ctx, landed); err != nil {
+					return result{}, err
 				}
 			}
 			what, err := ask(ctx, k, then)
--- a/internal/proxy/names.go
+++ b/internal/proxy/names.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"example.org/micafront/internal/remedy"
 	"example.org/micafront/internal/rulebook"
 )
 
@@ -36,11 +37,5 @@
 
 // oneLine makes a text fit for a value: no control characters, 512 bytes at most.
 func oneLine(text string) string {
-	text = strings.ToValidUTF8(text[:min(len(text), mostWords)], "")
-	return strings.Map(func(c rune) rune {
-		if c < ' ' || c == 0x7f {
-			return ' '
-		}
-		return c
-	}, text)
+	return remedy.OneLine(strings.ToValidUTF8(text[:min(len(text), mostWords)], ""))
 }
--- a/internal/registry/stream.go
+++ b/internal/registry/stream.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"example.org/micafront/internal/httpin"
+	"example.org/micafront/internal/remedy"
 )
 
 // stream finds the objects in an answer's bytes, however they are written and cut into pieces. Discovery's own way is an
@@ -191,10 +192,5 @@
 
 // oneLine is an error's text for a log, which must stay one line: the library's errors quote what it read.
 func oneLine(err error) string {
-	return strings.Map(func(c rune) rune {
-		if c < ' ' || c == 0x7f {
-			return ' '
-		}
-		return c
-	}, err.Error())
+	return remedy.OneLine(err.Error())
 }
--- a/internal/remedy/remedy.go
+++ b/internal/remedy/remedy.go
@@ -120,3 +120,13 @@
 	}
 	return out
 }
+
+// OneLine is a text with a blank for each control character, so that it stays one line in a log or among figures.
+func OneLine(text string) string {
+	return strings.Map(func(c rune) rune {
+		if c < ' ' || c == 0x7f {
+			return ' '
+		}
+		return c
+	}, text)
+}
--- a/internal/rulebook/rulebook.go
+++ b/internal/rulebook/rulebook.go
@@ -15,15 +15,15 @@
 
 // Read is described at Reading.
 func Read(b agreement.Body, at Place) (Rules, error) {
-	r, err := Decode(b)
+	r, err := decode(b)
 	if err != nil {
 		return Rules{}, err
 	}
-	return r.Bind(at)
+	return r.bind(at)
 }
 
-// Decode reads a body and leaves services as the routes name them.
-func Decode(b agreement.Body) (r Rules, err error) {
+// decode reads a body and leaves services as the routes name them.
+func decode(b agreement.Body) (r Rules, err error) {
 	if r.Settings, r.LoadIsDelay, err = config.DecodeSettings(b.Settings); err != nil {
 		return Rules{}, part("settings", err)
 	}
@@ -39,8 +39,8 @@
 	return r, nil
 }
 
-// Bind gives rules that were decoded as a place has them.
-func (r Rules) Bind(at Place) (Rules, error) {
+// bind gives rules that were decoded as a place has them.
+func (r Rules) bind(at Place) (Rules, error) {
 	names := catalog.Named(&r.Set)
 	if len(names) == 0 {
 		return r, nil
--- a/internal/rulebook/rulebook_test.go
+++ b/internal/rulebook/rulebook_test.go
@@ -54,7 +54,7 @@
 			t.Errorf("%v does not compile: %v", at, err)
 		}
 	}
-	r, err := Decode(b)
+	r, err := decode(b)
 	Equal(t, "decoded", []any{nil, "service:album", 1}, []any{err, r.Set.Routes[0].To[0].Pool, len(r.Settings.Classes)})
 	for name, state := range map[string]string{"absent": "", "null": "null"} {
 		if r, err := Read(body(settings, to("x"), state), Place{Mesh: "dakar"}); err != nil || r.Catalog != nil || r.Services != nil {
