--- a/scripts/scripts_test.go
+++ b/scripts/scripts_test.go
@@ -102,3 +102,52 @@
 		})
 	}
 }
+
+// day is what the standing test's bench prints of a day, as far as it is read.
+func day(kind, seed, served, rules string) string {
+	return "seed " + seed + "\nG 0.5   worst class 0.61   worst tenant 0.6" + seed + "\n" + rules + "\nclass album-feed  served 0.7" + seed +
+		"00\nclass album-notes served 0.61" + seed + "0\nnodes: ready after 0.1 s, restarts took [0.0, 2." + seed + "] s\n" +
+		"sockets: 9 from clients, " + seed + " not taken\n" + kind + "+mass G 0.5  floor 0.4  top 0.9  served " + served +
+		" (gate 0.490)  score 0." + seed + "0\n"
+}
+
+func TestDrawnDays(t *testing.T) {
+	const kept = "rules kept, no fault"
+	for _, c := range []struct {
+		name, second, rules string
+		code                int
+		want                []string
+	}{
+		{"all over the gate", "0.521", kept, 0, []string{"roll 0.10 0.20 0.150", "roll 0.031 2 0.6110 0.61 2.2 3"}},
+		{"one at its gate", "0.490", kept, 1, []string{"roll 0.000 2 0.6110 0.61 2.2 3"}},
+		{"a rule was broken", "0.521", "rules: drain 3", 1, []string{"roll 0.10 BROKEN 0.100", "rules: drain 3"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			place := kit(t, "", "", "")
+			bench := "#!/bin/sh\ncase \"$*\" in *'--seed 1'*) cat <<'E'\n" + day("roll", "1", "0.600", kept) + "E\n;; *) cat <<'E'\n" +
+				day("roll", "2", c.second, c.rules) + "E\n;; esac\n"
+			if err := os.WriteFile(filepath.Join(place, "more/mass/bin/lbreal"), []byte(bench), 0o755); err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.Command("./drawn-days")
+			cmd.Env = append(os.Environ(), "KIT="+place, "KINDS=roll", "SEEDS=1 2", "SKIP_BUILD=1", "OUT="+t.TempDir())
+			out, err := cmd.CombinedOutput()
+			var exit *exec.ExitError
+			code := 0
+			if errors.As(err, &exit) {
+				code = exit.ExitCode()
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			text := strings.Join(strings.Fields(string(out)), " ")
+			for _, w := range c.want {
+				if !strings.Contains(text, w) {
+					t.Errorf("%q is not in:\n%s", w, out)
+				}
+			}
+			if code != c.code {
+				t.Errorf("exit code %d, not %d:\n%s", code, c.code, out)
+			}
+		})
+	}
+}
