--- a/balancer.go
+++ b/balancer.go
@@ -307,7 +307,8 @@
 
 func (b *Balancer) place(r *request) *server {
 	if r.MidFlow && r.attempts == 0 {
-		if s := b.holder(r); s != nil && s.phase == Ready && !b.shuns(s) {
+		if s := b.holder(r); s != nil && s.phase == Ready && !b.shuns(s) &&
+			keys.Chance(r.client, s.hash) < math.Pow(b.warmth(s), 2) { // filled by its warmth it holds less
 			return s // its packets belong to the holder, whatever new keys are told
 		}
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -299,6 +299,7 @@
 // of reconnecting clients, or one large group, could push it over. A server takes connections as fast
 // as fills it over its warm-up, and all nodes together must stay under OverloadFactor times that. Each node
 // adds its part from what it holds itself, however few: many nodes see too few arrivals each to tell a rate.
+// Parts of less than one are saved up to one, each node from a level of its own, and come due one by one.
 func (b *Balancer) coldBudget(s *server) bool {
 	w := b.warmth(s)
 	if w >= 1 {
