Let a trickle through a shut gate, and never suspect a fleet's only zone

Now whoever comes when nothing has been sent for Fall is let in: 1 to 2 a second at most, none missing for two Falls.

--- a/balancer.go
+++ b/balancer.go
@@ -60,9 +60,9 @@
 	watchTries   int
 	watchPending bool
 
-	gate      float64 // fraction of new connections let in
-	pain      float64 // connections in trouble, times seconds, since pressedAt
-	pressedAt Instant
+	gate              float64 // fraction of new connections let in
+	pain              float64 // connections in trouble, times seconds, since pressedAt
+	pressedAt, sentAt Instant // sentAt: when the latest attempt was
 
 	minMessageAim time.Duration
 }
@@ -351,7 +351,7 @@
 		timeout = max(left/2, min(timeout, b.set.Limits.ConnectTimeout))
 	}
 	r.attempts++
-	r.sentAt = b.now
+	r.sentAt, b.sentAt = b.now, b.now
 	if b.set.Reports {
 		b.told.Sent(s.id, s.size, b.price(r, s))
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -178,7 +178,7 @@
 	}
 	// A cold server's part of the keys runs ahead of its warmth: what it is sent is the budget's to bound.
 	f := math.Sqrt(b.warmth(s)) * b.loadFraction(s)
-	if f < 1 && keys.Chance(r.key, s.hash) >= f {
+	if f < 1 && !b.trickles() && keys.Chance(r.key, s.hash) >= f {
 		return false
 	}
 	return b.coldBudget(s)
@@ -367,7 +367,7 @@
 		s.crashed = true
 	}
 	z := b.zone(s)
-	if s.fails == 0 || z.trial {
+	if b.zoneCount > 1 && (s.fails == 0 || z.trial) { // a fleet's only zone is never worse than another
 		b.suspect(z)
 	}
 	b.suspect(&s.suspicion)
@@ -404,7 +404,7 @@
 // each time it comes again, so that a crowd that retries does not work its way in; the classes that bring
 // little worth for their load go first, and what is beyond a tenant's share before them.
 func (b *Balancer) letIn(r *request) bool {
-	if b.gate >= 1 && !b.set.Reports || r.MidFlow {
+	if b.gate >= 1 && !b.set.Reports || r.MidFlow || b.trickles() {
 		return true
 	}
 	density, best := r.class.Worth/b.usualLoad(r.class), 0.0
@@ -423,6 +423,10 @@
 	return keys.Chance(r.client, 0) < shares.Part(b.gate, rank)
 }
 
+// trickles tells that nothing has been sent for a Fall: whoever comes is let in then, whatever the load, since a
+// node that turns all away learns of no recovery.
+func (b *Balancer) trickles() bool { return b.now-b.sentAt >= b.set.Rules.Fall }
+
 // surplus is the part of its tenant's connections here that is beyond its share, 0 without a contract.
 func (b *Balancer) surplus(r *request) float64 {
 	contract, known := b.shares[r.Tenant]
--- a/snapshot.go
+++ b/snapshot.go
@@ -12,7 +12,7 @@
 )
 
 // SnapshotVersion is the form of a Snapshot. It changes whenever a field comes, goes or changes its meaning.
-const SnapshotVersion = 4
+const SnapshotVersion = 5
 
 // Snapshot is all that a Balancer holds, exactly: one that is restored from it acts the same for ever after. A State is
 // less, for another process that goes on with what it needs.
@@ -56,7 +56,7 @@
 	WatchTries                  int
 	WatchPending                bool
 	Gate, Pain                  float64
-	PressedAt                   Instant
+	PressedAt, SentAt           Instant
 	Told                        map[string]reports.Evidence
 }
 
@@ -112,7 +112,7 @@
 		CrowdTotal: b.crowd.Total, CrowdSquare: b.crowd.Squares, Started: b.started, ListDirty: b.listDirty, Snapped: b.snapped,
 		StartedAt: b.startedAt, LastEpoch: b.lastEpoch, LastChange: b.lastChange, WatchTries: b.watchTries,
 		WatchPending: b.watchPending, Gate: b.gate, Pain: b.pain,
-		PressedAt: b.pressedAt, Told: b.told.Evidence()}
+		PressedAt: b.pressedAt, SentAt: b.sentAt, Told: b.told.Evidence()}
 	s.Settings.Classes, s.Settings.Tenants = slices.Clone(b.set.Classes), slices.Clone(b.set.Tenants)
 	w := snapshotter{s: &s, servers: map[*server]int{}, requests: map[*request]int{}, classes: map[*Class]int{}}
 	for _, name := range slices.Sorted(maps.Keys(b.classes)) {
@@ -302,7 +302,7 @@
 	b.homeSize, b.homeShare, b.usualPart, b.zoneCount = s.HomeSize, s.HomeShare, s.UsualPart, s.ZoneCount
 	b.started, b.startedAt, b.listDirty, b.snapped = s.Started, s.StartedAt, s.ListDirty, s.Snapped
 	b.lastEpoch, b.lastChange, b.watchTries, b.watchPending = s.LastEpoch, s.LastChange, s.WatchTries, s.WatchPending
-	b.gate, b.pain, b.pressedAt = s.Gate, s.Pain, s.PressedAt
+	b.gate, b.pain, b.pressedAt, b.sentAt = s.Gate, s.Pain, s.PressedAt, s.SentAt
 	b.told.Restore(s.Told)
 	return b, nil
 }
