Begin a lost watch again within what is left of the six seconds, by one clock in registry

Cause: the pause after a failed call followed from AskEvery alone (fleet.go watchFailed): from reachable to known up to 12.25 s at AskEvery 10, 50 s at 60; late lines put a second watch off to 6.7 s of silence; after a move to a discovery that refuses, 13.5 s of 4. Also: an answer that had come while the process was stopped was thrown away (client.go call), a fetched list made the watch's older deltas 'broken', a move over a silent address dropped the watch that was heard, a whole-list call that failed after a move was never repeated (all client.go), and a head over 16 KiB was taken or not depending on its pieces. A node asks for its first list within 2.5 s whatever AskEvery says.

--- a/fleet.go
+++ b/fleet.go
@@ -104,8 +104,9 @@
 		b.survey(ready)
 		b.askReports()
 		if b.set.Subscribe {
-			// All nodes may start at once; a registry of fixed size is asked in turn.
-			b.timer(watchToken, time.Duration(b.rng.Float64()*float64(b.set.Rules.AskEvery)/4))
+			// All nodes may start at once; a registry of fixed size is asked in turn, before news counts.
+			within := min(b.set.Rules.AskEvery/4, 5*time.Second/2)
+			b.timer(watchToken, time.Duration(b.rng.Float64()*float64(within)))
 		}
 	}
 }
@@ -366,8 +367,7 @@
 	if st == ConnectFailed && len(s.held) == 0 && (s.fails > 0 || b.now-s.brokeAt < b.set.Rules.Fall) {
 		s.crashed = true
 	}
-	z := b.zone(s)
-	if b.zoneCount > 1 && (s.fails == 0 || z.trial) { // a fleet's only zone is never worse than another
+	if z := b.zone(s); b.zoneCount > 1 && (s.fails == 0 || z.trial) { // an only zone is no worse than another
 		b.suspect(z)
 	}
 	b.suspect(&s.suspicion)
@@ -423,8 +423,8 @@
 	return keys.Chance(r.client, 0) < shares.Part(b.gate, rank)
 }
 
-// trickles tells that nothing has been sent for a Fall: whoever comes is let in then, whatever the load, since a
-// node that turns all away learns of no recovery.
+// trickles tells that nothing has been sent for a Fall: whoever comes is let in then, whatever the load,
+// since a node that turns all away learns of no recovery.
 func (b *Balancer) trickles() bool { return b.now-b.sentAt >= b.set.Rules.Fall }
 
 // surplus is the part of its tenant's connections here that is beyond its share, 0 without a contract.
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -600,3 +600,24 @@
 		}
 	}
 }
+
+// However rarely the settings have discovery asked, a node that starts asks before news counts as told.
+func TestFirstAskedInTime(t *testing.T) {
+	set := testSettings()
+	set.Subscribe, set.Rules.AskEvery = true, time.Hour
+	var first, last time.Duration = time.Hour, 0
+	for seed := range uint64(100) {
+		b, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range only[SetTimer](b.Handle(sec, Members{Kind: SavedList, Entries: fleetOf(4)})) {
+			if a.Token == watchToken {
+				first, last = min(first, a.Delay), max(last, a.Delay)
+			}
+		}
+	}
+	if first > 200*ms || last < 2*sec || last > 2500*ms {
+		t.Errorf("100 nodes ask between %v and %v after their start", first, last)
+	}
+}
--- a/internal/httpin/httpin.go
+++ b/internal/httpin/httpin.go
@@ -72,10 +72,9 @@
 
 func (p *Parser) cutLine() (string, bool, error) {
 	i := bytes.IndexByte(p.buf, '\n')
-	if i < 0 {
-		if len(p.buf) > maxHead {
-			return "", false, ErrTooLong
-		}
+	if i > maxHead || i < 0 && len(p.buf) > maxHead { // alike, in whatever pieces it comes
+		return "", false, ErrTooLong
+	} else if i < 0 {
 		return "", false, nil
 	}
 	line := string(bytes.TrimSuffix(p.buf[:i], []byte("\r")))
@@ -85,10 +84,9 @@
 
 func (p *Parser) head() (bool, error) {
 	end := bytes.Index(p.buf, []byte("\r\n\r\n"))
-	if end < 0 {
-		if len(p.buf) > maxHead {
-			return false, ErrTooLong
-		}
+	if end > maxHead || end < 0 && len(p.buf) >= maxHead+len("\r\n\r\n") {
+		return false, ErrTooLong
+	} else if end < 0 {
 		return false, nil
 	}
 	lines := strings.Split(string(p.buf[:end]), "\r\n")
--- a/internal/httpin/httpin_test.go
+++ b/internal/httpin/httpin_test.go
@@ -1,6 +1,9 @@
 package httpin
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // However an answer is cut into pieces, it gives the same objects or the same error.
 func FuzzParserInPieces(f *testing.F) {
@@ -10,6 +13,10 @@
 		"HTTP/1.1 200 OK\r\n\r\nuntil the end", "SSH-2.0\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n"} {
 		f.Add([]byte(s), 3)
 	}
+	for _, n := range []int{maxHead - 1, maxHead, maxHead + 1, maxHead + 2, maxHead + 3, maxHead + 4} { // bytes of a head, and of a chunk's line
+		f.Add([]byte("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", n-20)+"\r\n\r\nabc"), 1)
+		f.Add([]byte(head+"3;"+strings.Repeat("x", n-3)+"\r\nabc\r\n"), 1)
+	}
 	f.Fuzz(func(t *testing.T, answer []byte, piece int) {
 		read := func(step int) (got []byte, status int, failed bool) {
 			p := New(func(b []byte) error { got = append(got, b...); return nil })
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -121,7 +121,8 @@
 		return nil, err
 	}
 	p.registry = &registry.Client{Loop: loop, Addr: c.Discovery, Generation: c.Known.Generation, Named: len(c.Known.Instances) > 0,
-		Heard: p.hearList, Failed: p.listFailed, Noted: func(err error) { p.log.Warn(err.Error()) }, Seed: c.Seed}
+		Heard: p.hearList, Failed: p.listFailed, Noted: func(err error) { p.log.Warn(err.Error()) }, Seed: c.Seed,
+		Every: c.Settings.Rules.AskEvery}
 	p.seekLists(c)
 	p.memoryMB = c.MemoryMB
 	p.limitMemory()
@@ -245,6 +246,7 @@
 		p.dropped[old.Name] = old
 	}
 	p.set, p.delays = set, loadIsDelay
+	p.registry.Every = set.Rules.AskEvery
 	for _, class := range p.set.Classes {
 		delete(p.dropped, class.Name)
 	}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -15,21 +15,6 @@
 	"example.org/micafront/internal/remedy"
 )
 
-// Times are a client's. An empty line comes every 2 s on a quiet watch, and what discovery has to tell counts as told 6 s
-// after a watch fell silent, whether it came or not. So a watch that misses a line is asked for anew beside the old one
-// at once, and the old one is given up only when the new one speaks: a late line costs a call and nothing else.
-// Discovery serves all proxies, a dozen calls a second; many watches may fall silent at one moment, and each proxy asks
-// at a moment of its own within Spread.
-type Times struct {
-	Call    time.Duration // until the first object of an answer
-	Ask     time.Duration // without a byte on a watch, until a second one is begun
-	Spread  time.Duration
-	Silence time.Duration // without an object or an empty line, until a watch is lost
-}
-
-// Usual are the times that go with discovery's promises.
-var Usual = Times{Call: 2500 * time.Millisecond, Ask: 2500 * time.Millisecond, Spread: time.Second, Silence: 5500 * time.Millisecond}
-
 // The kinds of a call's end that is no list, beside broken.
 var (
 	unreachable = remedy.NewKind("registry/unreachable", "see whether discovery runs at the address in the line and whether this machine reaches it: curl -sS http://ADDRESS/registry/instances; the list that is known goes on")
@@ -40,11 +25,8 @@
 	overtaken   = remedy.NewKind("registry/overtaken", "nothing to do: the watch brought a newer list than the answer, which was dropped")
 )
 
-// tries is how often a second watch is begun beside a silent one.
-const tries = 2
-
-// Client asks discovery. Each call that the module makes ends in exactly one report, a list or a failure; a
-// watch then goes on to report changes until it is lost.
+// Client asks discovery. Each call ends in exactly one report, a list or a failure; a watch then goes on to report changes
+// until it is lost. A watch that is wanted and lost is begun again from here, by the one clock that Times describes.
 type Client struct {
 	Loop       *evloop.Loop
 	Addr       string
@@ -52,40 +34,59 @@
 	Named      bool  // some list has named somebody
 	Heard      func(List, micafront.ListKind)
 	Failed     func(error)
-	Noted      func(error) // a watch fell silent and another has taken its place, which is no failure; nil: not told
-	Times      Times       // zero: Usual
-	Seed       uint64      // of the moments of this proxy's own; 0: from its process and the time
+	Noted      func(error)   // a watch fell silent and another has taken its place, which is no failure; nil: not told
+	Times      Times         // zero: Usual
+	Every      time.Duration // within this discovery is asked again by the settings
+	Seed       uint64        // of the moments of this proxy's own; 0: from its process and the time
 
 	watch   *call
-	wanted  bool           // the module follows changes
-	former  *call          // the watch at the address before, until the new one has spoken
-	moved   bool           // nothing has been heard from the discovery that Move named
+	wanted  bool  // the module follows changes
+	former  *call // the watch at the address before, until the new one has spoken
+	moved   bool  // nothing has been heard from the discovery that Move named
+	movedAt time.Duration
+	partial bool           // the known list may name next hops that only the discovery before had
 	fetches map[*call]bool // on their way
 
 	second *call         // a watch that was begun beside a silent one
 	tries  int           // how many of them were
 	again  *evloop.Timer // when the next one is
+	next   *evloop.Timer // when a watch is begun in place of a lost one; nil: none is due
+	failed int           // watches in a row
 	late   time.Duration // by what lines of watches have come late, and are waited for longer since
 	chance *rand.Rand
 }
 
-// Watch asks for changes from now on, or cancels that. A watch that has spoken is begun anew; one that Move has
-// just begun is the one asked for.
+// Watch asks for changes from now on, or cancels that. Where this client has a clock of its own, a watch that stands, is
+// on its way or is due is the one asked for. Elsewhere one that has spoken is begun anew, and one that Move has just begun
+// is the one asked for.
 func (c *Client) Watch(on bool) {
 	c.wanted = on
-	if c.watch != nil && on && c.moved {
+	if on && (c.watch != nil && c.moved || c.times().Told > 0 && (c.watch != nil || c.next != nil)) {
+		return
+	}
+	if on {
+		c.restart()
 		return
 	}
+	c.end()
+	c.forgetFormer()
+}
+
+// restart begins a watch in the place of whatever there is.
+func (c *Client) restart() {
+	c.end()
+	c.watch = c.begin()
+}
+
+// end leaves no watch but the former one, and none due.
+func (c *Client) end() {
 	c.forgetSecond()
+	c.Loop.Cancel(c.next)
+	c.next = nil
 	if c.watch != nil {
 		c.watch.stop()
 		c.watch = nil
 	}
-	if on {
-		c.watch = c.begin()
-	} else {
-		c.forgetFormer()
-	}
 }
 
 func (c *Client) begin() *call {
@@ -116,22 +117,26 @@
 	if back != nil && back.addr != addr {
 		back = nil
 	}
-	left := c.Generation
-	c.Addr, c.Generation, c.moved = addr, 0, true
+	heard, left := !c.moved, c.Generation
+	c.Addr, c.Generation, c.moved, c.movedAt, c.failed = addr, 0, true, c.Loop.Now(), 0
 	c.forgetSecond()
+	c.Loop.Cancel(c.next)
+	c.next = nil
 	for _, k := range slices.Collect(maps.Keys(c.fetches)) {
 		k.stop() // its answer is no longer of use; the new discovery gives the one report
-		c.Fetch()
+		if !k.own {
+			c.Fetch()
+		}
 	}
 	if back != nil {
 		if c.watch != nil {
 			c.watch.stop()
 		}
-		c.watch, c.former, c.Generation, c.moved = back, nil, back.left, back.left == 0
+		c.watch, c.former, c.Generation, c.moved = back, nil, back.left, false
 		back.alive()
 		return
 	}
-	if w := c.watch; w != nil && w.spoken {
+	if w := c.watch; w != nil && w.stage >= speaking && heard {
 		c.forgetFormer()
 		c.former, w.left = w, left
 		c.Loop.Cancel(w.quiet)
@@ -181,46 +186,90 @@
 	return time.Duration(c.chance.Float64() * float64(span))
 }
 
-// askAnew begins a watch beside one that is silent, unless its bytes are only waiting to be read: timers come first where
-// this process has been paused.
+// due has f run after d, unless the timer is cancelled by what is read until then: timers come first where this process
+// has been paused, so f gets a turn of its own after them. at holds the timer.
+func (c *Client) due(at **evloop.Timer, d time.Duration, f func()) {
+	*at = c.Loop.After(d, func() { *at = c.Loop.After(0, f) })
+}
+
+// chanceNow is this proxy's own part of 1 for the next moment.
+func (c *Client) chanceNow() float64 { return float64(c.moment(time.Second)) / float64(time.Second) }
+
+// askAnew begins a watch beside one that is silent.
 func (c *Client) askAnew() {
-	c.again = c.Loop.After(0, func() {
-		c.tries++
-		second := c.begin()
-		c.second = second
-		c.Loop.After(c.times().Call/2, func() {
-			if c.second == second && !second.up { // else what it asked is on its way, and waits for its turn there
-				second.fail(silent.New("", "no connection in time"))
-			}
-		})
+	c.tries++
+	second := c.begin()
+	c.second = second
+	c.Loop.Cancel(c.again)
+	c.due(&c.again, c.times().Call/2, func() {
+		if c.second == second && second.stage < requested { // else what it asked is on its way, and waits for its turn there
+			second.fail(silent.New("", "no connection in time"))
+		}
 	})
 }
 
+// recover has a watch begun in the place of a lost one, within the time that is left of the one in which a change has to be
+// known. Since when that runs, the lost one tells.
+func (c *Client) recover(k *call, err error) {
+	t := c.times()
+	if !c.wanted || t.Told == 0 {
+		return
+	}
+	now := c.Loop.Now()
+	spent := now - k.since(err)
+	if c.moved {
+		// Where that time is over it is no reason to hurry any more.
+		if at := now - c.movedAt + t.Told - t.Moved; at < t.latest() {
+			spent = max(spent, at)
+		}
+	}
+	c.Loop.Cancel(c.next)
+	c.next = c.Loop.After(t.pause(c.Every, spent, c.failed, c.chanceNow()), func() {
+		c.next = nil
+		c.restart()
+	})
+	c.failed++
+}
+
+// stage is how far a call has come.
+type stage int
+
+const (
+	dialling  stage = iota
+	requested       // the connection is up, and the request has been written
+	answered        // its headers are there
+	speaking        // it has brought an object or an empty line
+	mute            // a watch that spoke has brought no byte for Ask and more
+	over
+)
+
 type call struct {
-	c      *Client
-	count  int // of objects that came whole
-	conn   *evloop.Conn
-	parser *httpin.Parser
-	stream stream
-	got    *List // a fetch's
-	watch  bool
-	own    bool  // not the module's: what failed is asked for again by the next watch
-	twice  bool  // a fetch that was begun anew
-	up     bool  // the connection is
-	spoken bool  // brought an object or an empty line
-	after  error // how the watch ended whose place this one has taken, until it has spoken itself
-	over   bool
-	limit  *evloop.Timer
-	quiet  *evloop.Timer // when a watch without a byte is asked for anew
-	path   string
-	addr   string
-	left   int64 // generation of the latest list that came from there, of a watch that Move has left
+	c               *Client
+	count           int // of objects that came whole
+	conn            *evloop.Conn
+	parser          *httpin.Parser
+	stream          stream
+	got             *List // a fetch's
+	watch           bool
+	own             bool // not the module's: what failed is asked for again by the next watch
+	twice           bool // a fetch that was begun anew
+	stage           stage
+	owes            time.Duration // since when what it has to bring may have been missed
+	spokeAt, byteAt time.Duration // when the latest object or empty line came, and the latest byte
+	after           error         // how the watch ended whose place this one has taken, until it has spoken itself
+	limit           *evloop.Timer
+	quiet           *evloop.Timer // when a watch without a byte is asked for anew
+	path            string
+	addr            string
+	at              int64 // generation of a watch's latest list, or of the one from which it was asked
+	left            int64 // generation of the latest list from there, of a watch that Move has left
 }
 
 func (c *Client) call(path string, watch bool) *call {
-	k := &call{c: c, watch: watch, path: path, addr: c.Addr}
+	now := c.Loop.Now()
+	k := &call{c: c, watch: watch, path: path, addr: c.Addr, at: c.Generation, owes: now, spokeAt: now, byteAt: now}
 	k.parser = httpin.New(k.body)
-	k.limit = c.Loop.After(c.times().Call, func() { k.fail(silent.New("", "no answer in time")) })
+	c.due(&k.limit, c.times().Call, func() { k.fail(silent.New("", "no answer in time")) })
 	conn, err := c.Loop.Dial(c.Addr, k)
 	if err != nil {
 		// Told in a turn of its own: the module's call has not returned yet.
@@ -231,8 +280,23 @@
 	return k
 }
 
+// since is from when on discovery may have had what this call, which has failed, did not bring: from its beginning, or from
+// when it, or the watch whose place it has taken, fell silent. What has spoken until just now has missed nothing.
+func (k *call) since(err error) time.Duration {
+	now := k.c.Loop.Now()
+	switch {
+	case k.stage < speaking:
+		return k.owes
+	case silent.Of(err):
+		return k.spokeAt
+	case now-k.byteAt >= k.c.times().Ask:
+		return k.byteAt
+	}
+	return now
+}
+
 func (k *call) stop() {
-	k.over = true
+	k.stage = over
 	delete(k.c.fetches, k)
 	k.c.Loop.Cancel(k.limit)
 	k.c.Loop.Cancel(k.quiet)
@@ -245,37 +309,47 @@
 // fail ends a call that gave no list, or a watch.
 func (k *call) fail(err error) {
 	c := k.c
-	if k.over {
+	if k.stage == over {
 		return
 	}
+	cause := err
+	was := *k // its stage, for since
 	k.stop()
+	lost := &was // whose place a new watch takes; nil: none does
 	switch {
 	case c.former == k:
 		c.former = nil
 		return
 	case c.second == k && c.tries < tries:
 		c.second = nil
-		c.again = c.Loop.After(c.times().Spread/8+c.moment(c.times().Spread/4), c.askAnew)
+		c.Loop.Cancel(c.again)
+		c.due(&c.again, c.times().repeat(c.chanceNow()), c.askAnew)
 		return
 	case c.second == k:
 		old := c.watch
+		was, cause = *old, fellSilent()
 		old.stop()
-		c.follow(old, fellSilent())
+		c.follow(old, cause)
 		c.watch = nil
-	case !k.watch && !k.twice && silent.Of(err):
+	case !k.watch && !k.twice && !k.own && silent.Of(err):
 		again := c.fetch()
-		again.twice, again.own = true, k.own
+		again.twice = true
 		return
-	case c.watch == k && c.second != nil && (c.second.up || !silent.Of(err)) && !broken.Of(err):
+	case c.watch == k && c.second != nil && (c.second.stage >= requested || !silent.Of(err)) && !broken.Of(err):
 		c.follow(k, err) // it has been asked already, and answers for both
 		return
 	case c.watch == k:
 		c.forgetSecond()
 		c.watch = nil
+	case !k.own:
+		lost = nil // a fetch of the module's
 	}
 	if k.own {
 		c.Generation = 0
 	}
+	if lost != nil {
+		c.recover(lost, cause)
+	}
 	if err = k.told(err); k.after != nil {
 		err = fmt.Errorf("%w, and asked anew: %w", k.after, err)
 	}
@@ -285,7 +359,7 @@
 // follow puts the second watch in the place of one that is over.
 func (c *Client) follow(k *call, err error) {
 	c.watch, c.second = c.second, nil
-	c.watch.after = k.told(err)
+	c.watch.owes, c.watch.after = k.since(err), k.told(err)
 	c.forgetSecond()
 }
 
@@ -303,12 +377,13 @@
 
 // Opened and the methods below are evloop's Handler.
 func (k *call) Opened() {
-	k.up = true
+	k.stage = requested
 	k.conn.Write([]byte("GET " + k.path + " HTTP/1.1\r\nHost: " + k.c.Addr +
 		"\r\nAccept: application/json\r\n\r\n"))
 }
 
 func (k *call) Data(b []byte) {
+	k.byteAt = k.c.Loop.Now()
 	if err := k.parser.Feed(b); err != nil {
 		if !broken.Of(err) {
 			err = foreign.Wrap("", err)
@@ -316,6 +391,9 @@
 		k.fail(err)
 		return
 	}
+	if k.stage == requested && k.parser.Status() != 0 {
+		k.stage = answered
+	}
 	if k.parser.Status() != 0 && k.parser.Status() != 200 {
 		k.fail(refused.New("", "status %d", k.parser.Status()))
 	} else if k.parser.Done() {
@@ -324,7 +402,7 @@
 }
 
 func (k *call) Ended() {
-	if k.over {
+	if k.stage == over {
 		return
 	}
 	if k.watch || k.parser.Status() != 200 || !k.parser.Done() && !k.parser.UntilEnd() {
@@ -358,7 +436,7 @@
 
 // body takes the answer's bytes: a watch brings any number of objects, a fetch one in all.
 func (k *call) body(b []byte) error {
-	if k.over || k.parser.Status() != 200 {
+	if k.stage == over || k.parser.Status() != 200 {
 		return nil
 	}
 	k.alive()
@@ -391,15 +469,19 @@
 // alive takes any bytes of a watch: a second one, begun or about to be for want of them, is not needed.
 func (k *call) alive() {
 	c := k.c
-	if c.watch != k || !k.spoken {
+	if c.watch != k || k.stage < speaking {
 		return
 	}
+	k.stage = speaking
 	if c.tries > 0 {
 		c.late = min(c.late+c.times().Spread/4, c.times().Spread)
 	}
 	c.forgetSecond()
 	c.Loop.Cancel(k.quiet)
-	k.quiet = c.Loop.After(c.times().Ask+c.late+c.moment(c.times().Spread), c.askAnew)
+	c.due(&k.quiet, c.times().silence(c.late, c.chanceNow()), func() {
+		k.stage = mute
+		c.askAnew()
+	})
 }
 
 // spoke takes blanks or an object of a watch. An object that does not end within Silence is as good as none.
@@ -408,7 +490,10 @@
 	if !k.watch {
 		return
 	}
-	k.spoken = true
+	k.stage, k.spokeAt = speaking, c.Loop.Now()
+	if c.former != k {
+		c.failed = 0
+	}
 	if c.second == k {
 		old := c.watch
 		old.stop()
@@ -422,9 +507,17 @@
 	}
 	k.alive()
 	c.Loop.Cancel(k.limit)
-	k.limit = c.Loop.After(c.times().Silence, func() {
-		k.limit = c.Loop.After(0, func() { k.fail(fellSilent()) }) // a turn later: see askAnew
-	})
+	c.due(&k.limit, c.times().Silence, func() { k.fail(fellSilent()) })
+}
+
+// completing tells that a whole list is on its way which the module has not asked for.
+func (c *Client) completing() bool {
+	for k := range c.fetches {
+		if k.own {
+			return true
+		}
+	}
+	return false
 }
 
 // sane refuses a list that would send everybody away: one that names nobody where somebody was named before.
@@ -437,6 +530,7 @@
 
 func (c *Client) take(l List, kind micafront.ListKind) {
 	c.Generation, c.Named = l.Generation, c.Named || len(l.Instances) > 0
+	c.partial = c.partial && kind == micafront.Changes
 	c.Heard(l, kind)
 }
 
@@ -448,22 +542,26 @@
 		return err
 	}
 	if k == c.former {
-		k.left = l.Generation
-		c.Heard(l, kind)
+		if l.Generation >= k.left {
+			k.left = l.Generation
+			c.Heard(l, kind)
+		}
 		return nil
 	}
-	if l.Generation < c.Generation {
-		held := c.Generation
+	if l.Generation < k.at {
 		c.Generation = 0
-		return broken.New(mapPlace, "generation %d after %d", l.Generation, held)
+		return broken.New(mapPlace, "generation %d after %d", l.Generation, k.at)
+	}
+	if k.at = l.Generation; l.Generation < c.Generation {
+		return nil // the whole list that was fetched meanwhile has it
 	}
 	if c.moved {
-		c.moved = false
+		c.moved, c.partial = false, true
 		c.forgetFormer()
-		if kind == micafront.Changes {
-			// Next hops that only the old discovery listed are not among another one's changes.
-			c.fetch().own = true
-		}
+	}
+	if c.partial && kind == micafront.Changes && !c.completing() {
+		// Next hops that only the old discovery listed are not among another one's changes.
+		c.fetch().own = true
 	}
 	c.take(l, kind)
 	return nil
