Take the times of a stop from the settings, and answer every request before the kill

Cause (leave.go): a stop ended 3.6 s after the signal whatever the deadlines, where the kill comes 0.7 s after the longest one; it exited over requests at next hops that hang, dial or are tried again; late requests kept their whole time; clients amid a first line, resting or silent ones were closed without a word, over unread bytes if there were any. Where packets pass through, a stop with standing connections lasts past the kill.

--- a/cmd/micafront/main.go
+++ b/cmd/micafront/main.go
@@ -49,6 +49,7 @@
 	// Before all else: until then a signal would end the program by its default action, SIGHUP too.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	signal.Ignore(syscall.SIGPIPE) // else the program would end with whoever reads its standard error
 	form, level, err := logging.Parse(os.Getenv("MICAFRONT_LOG"))
 	if err != nil {
 		return fmt.Errorf("MICAFRONT_LOG: %w", err)
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -38,6 +38,10 @@
 		p.withhold(f, after)
 		return
 	}
+	if p.life.late(p.loop.Now()) { // what it would be sent on for could not come back in time
+		p.refuse(f, 0)
+		return
+	}
 	c, _ := p.classOf(o)
 	if f.safe = c.Effect == micafront.Safe; !o.HasWait {
 		o.Wait = c.GiveUp
@@ -46,7 +50,7 @@
 		return
 	}
 	now := p.loop.Now()
-	f.deadline = f.journey.Deadline(now, now+o.Wait)
+	f.deadline = p.life.bound(f.journey.Deadline(now, now+o.Wait))
 	if o.MidFlow {
 		p.count.MidFlow++
 	}
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -1,7 +1,7 @@
 package proxy
 
 import (
-	"os"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,23 +11,13 @@
 
 // Sending clients away: at a stop, or while the operators have the proxy drained. Both share one turn.
 
-const (
-	stopArrivals = 700 * time.Millisecond  // arrivals go on for up to 0.4 s after the signal
-	stopQuiet    = 300 * time.Millisecond  // and none must have come for this long
-	stopMoved    = 2300 * time.Millisecond // clients are moved until then, or until the longest deadline
-	// Not earlier where deadlines are shorter, though the kill then comes earlier too: where packets pass through,
-	// connections that are held when the kill comes go on by another proxy, and those that the proxy ends do not.
-	stopLast = 3300 * time.Millisecond
-	stopStep = 50 * time.Millisecond
-)
-
 // Stop ends the proxy in an orderly way: what still arrives is accepted and answered, requests in flight are
 // settled, and every open connection's client is told to move, at an even pace. It may be called from any
 // goroutine.
 func (p *Proxy) Stop() error {
 	return p.loop.Post(func() {
-		if !p.stopping {
-			p.stopping, p.stoppedAt = true, p.loop.Now()
+		if p.life.terminate(p.loop.Now(), stopTimesOf(p.set)) {
+			p.say("stopping, last answers go out within " + p.life.times.answers.String())
 			p.tellStanding()
 			p.leave()
 		}
@@ -35,7 +25,7 @@
 }
 
 // Ready, Telemetry, Evacuate and Rejoin are what operators ask for (operator.Proxy).
-func (p *Proxy) Ready() bool { return p.closedAt == 0 && !p.starting() }
+func (p *Proxy) Ready() bool { return p.life.listens() && !p.starting() }
 
 func (p *Proxy) Telemetry() []byte {
 	b := p.poolFigures(p.count.Figures(nil, counters.State{Pending: len(p.flows), Members: len(p.hops),
@@ -60,53 +50,50 @@
 
 // Evacuate sends clients away and keeps on serving those who come all the same. Once is as good as twice.
 func (p *Proxy) Evacuate() {
-	if !p.drained {
-		p.drained = true
+	if p.life.evacuate(p.loop.Now()) {
 		p.leave()
 	}
 }
 
 // Rejoin takes the proxy back to work. A stop that has begun goes on.
 func (p *Proxy) Rejoin() {
-	p.drained = false
-	if !p.stopping {
-		p.leavingAt = 0
+	if p.life.rejoin() {
+		p.loop.Cancel(p.steps)
+		p.steps = nil
 	}
 }
 
 // leave begins to send clients away, unless that is under way.
 func (p *Proxy) leave() {
-	if p.leavingAt == 0 {
-		p.leavingAt = p.loop.Now()
-		p.leaveTurn(p.leavingAt)
+	if p.steps == nil {
+		p.leaveTurn()
 	}
 }
 
-// leaveTurn is one step of the leave that began at since; a rejoin in between has ended it.
-func (p *Proxy) leaveTurn(since time.Duration) {
-	if p.leavingAt != since {
-		return
+// leaveTurn is one step of it.
+func (p *Proxy) leaveTurn() {
+	now := p.loop.Now()
+	if !p.life.stopping() || !p.handOn() {
+		p.sendAway(now)
 	}
-	if !p.stopping || !p.handOn() {
-		p.sendAway(p.loop.Now() - since)
+	if p.life.due(now) {
+		p.answerAll()
 	}
-	if p.stopping && p.stopped(p.loop.Now()-p.stoppedAt) {
+	switch p.life.step(now, p.view()) {
+	case shutListeners:
+		p.shutListeners()
+	case endProcess:
 		p.tellStanding()
-		if p.offer != nil {
-			_ = os.Remove(p.path)
-		}
+		p.tidy()
 		p.printNow(p.log)
 		_ = p.loop.Stop()
 		return
 	}
-	p.loop.After(stopStep, func() { p.leaveTurn(since) })
+	p.steps = p.loop.After(p.life.wait(now), p.leaveTurn)
 }
 
 // sendAway moves this step's part of those that stand. At first none: new connections still come.
-func (p *Proxy) sendAway(past time.Duration) {
-	if past < stopArrivals/2 {
-		return
-	}
+func (p *Proxy) sendAway(now time.Duration) {
 	leaving := p.open
 	if p.set.PassThrough {
 		// Once this proxy is gone the front sends the packets of open connections by another one, and
@@ -119,47 +106,66 @@
 			}
 		}
 	}
-	// The kill comes 0.7 s after the longest deadline, or after 3.7 s; a drain is to be over after 4 s. All are gone
-	// well before, so that those placed late can follow.
-	until := time.Duration(0)
-	for _, c := range p.set.Classes {
-		until = max(until, min(c.GiveUp, stopMoved))
-	}
-	steps := max(int((until-past)/stopStep), 1)
-	for _, f := range slices.Clone(leaving[:(len(leaving)+steps-1)/steps]) {
+	n := p.life.share(now, stopTimesOf(p.set), len(leaving))
+	for _, f := range slices.Clone(leaving[:n]) {
 		p.count.MovesStop++
 		p.move(f, micafront.Cancelled)
 	}
 }
 
-// stopped closes the listener once nothing comes any more, and tells whether all is over.
-func (p *Proxy) stopped(past time.Duration) bool {
-	now := p.loop.Now()
-	quiet := past >= stopArrivals && now-p.lastTakenIn >= stopQuiet
-	if p.closedAt == 0 && (quiet && p.settled() || past >= stopLast) {
-		for _, ln := range p.listeners() {
-			if p.succeeded() {
-				ln.Leave()
-			} else {
-				ln.Close()
-			}
+// answerAll gives each request that still waits its final answer. Next hops that hang must not take it along.
+func (p *Proxy) answerAll() {
+	for _, id := range slices.Sorted(maps.Keys(p.flows)) {
+		f := p.flows[id]
+		if f == nil || f.answered {
+			continue
 		}
-		p.closedAt = now
-		if p.fleet != nil {
-			p.fleet.leave()
+		if f.journey.Ran() || f.attempt != nil && f.attempt.wrote {
+			p.fail(f)
+		} else {
+			p.refuse(f, 0)
 		}
+		f.giveUp()
 	}
-	// What the listener's queue still held has been accepted by its Close, but is yet to be read and answered.
-	return p.closedAt != 0 && (p.settled() && now-p.closedAt >= stopStep || past >= stopLast+stopQuiet)
 }
 
-// settled tells that nobody waits for this process: no request, none whose first message is on its way, and nobody who
-// has yet to read a last message.
-func (p *Proxy) settled() bool {
-	for e := p.strangers.waiting.Front(); e != nil; e = e.Next() {
-		if e.Value.(*flow).pings == 0 { // who only checked readiness asks for no more
-			return false
+// shutListeners ends the taking in. What the queues still held has been accepted by then; it is refused, as are all who
+// have not said what they want. They hear so before their connections are shut, and are read to their ends, so that a
+// first message on its way meets its answer and not a reset.
+func (p *Proxy) shutListeners() {
+	for _, ln := range p.listeners() {
+		if p.succeeded() {
+			ln.Leave()
+		} else {
+			ln.Close()
 		}
 	}
-	return len(p.flows) == 0 && p.strangers.leaving.Len() == 0
+	p.tidy() // there are no listeners to hand over any more
+	p.withdraw()
+	for e := p.strangers.waiting.Front(); e != nil; e = p.strangers.waiting.Front() {
+		f := e.Value.(*flow)
+		p.count.NoFirstLine++
+		f.in = nil
+		f.endClient(p.protocol.Defer(0))
+	}
+	if p.fleet != nil {
+		p.fleet.leave()
+	}
+}
+
+// view is what a stop goes by.
+func (p *Proxy) view() view {
+	now := p.loop.Now()
+	v := view{quiet: now - p.lastTakenIn, standing: len(p.open) > 0}
+	v.owed = p.strangers.leaving.Len() > 0 // who has yet to read a last message
+	for _, f := range p.flows {
+		v.owed = v.owed || !f.answered
+	}
+	for e := p.strangers.waiting.Front(); e != nil; e = e.Next() {
+		f := e.Value.(*flow)
+		// A first message is on its way, or may be. Who only checked readiness, or has said nothing for long, is
+		// not waited for.
+		v.owed = v.owed || len(f.in) > 0 || f.pings == 0 && now-f.came < stopQuiet
+	}
+	return v
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,11 +58,8 @@
 	open    []*flow // connections that stand
 	sweepAt time.Duration
 
-	drained     bool // by the operators: new connections should go elsewhere
-	stopping    bool
-	stoppedAt   time.Duration // when the stop began
-	leavingAt   time.Duration // since when clients are sent away, for either reason; 0: they are not
-	closedAt    time.Duration // when the listener was closed; 0: it listens
+	life        life
+	steps       *evloop.Timer // the next step of sending clients away; nil: they are not sent away
 	lastTakenIn time.Duration
 }
 
@@ -93,6 +90,7 @@
 	partner  *counters.Requests // of its tenant; nil: it has no contract
 	clientID string
 	stranger *list.Element // in strangers.waiting, until its first message is understood
+	came     time.Duration
 	pings    int
 	client   *evloop.Conn // nil once the sender side is done with
 	in       []byte       // of the client: not yet understood, or early
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -133,16 +133,22 @@
 		a.last = sign
 		switch sign {
 		case SignUp:
+			if a.f.client == nil { // its client has gone or was answered, and attempts may not be called off: nobody is left to stand for
+				a.end(micafront.Cancelled)
+				return
+			}
 			a.tail = nil
 			a.f.stand(a)
 			a.fromNextHop(b) // the message itself and what follows
 			return
 		case SignBye:
-			a.f.answered = true
-			a.f.hold(holdsNothing)
-			p.count.Served++
-			a.f.final(completed)
-			a.f.endClient(m)
+			if !a.f.answered { // else its final answer has been counted
+				a.f.answered = true
+				a.f.hold(holdsNothing)
+				p.count.Served++
+				a.f.final(completed)
+				a.f.endClient(m)
+			}
 			a.end(micafront.OK)
 		case SignMove:
 			a.end(micafront.Cancelled)
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -86,6 +86,7 @@
 type succession struct {
 	path        string           // where a successor asks; "": nowhere
 	offer       *evloop.Listener // nil where none is open
+	offered     os.FileInfo      // the socket's file
 	elder, heir *kin
 	beating     bool
 }
@@ -224,6 +225,18 @@
 	var err error
 	if p.offer, err = handover.Offer(p.loop, p.path, p.succeed); err != nil {
 		p.warn("no place is offered to a successor", err)
+		return
+	}
+	p.offered, _ = os.Lstat(p.path)
+}
+
+// tidy takes the socket's file away at the end, unless a successor has put its own there and is yet to be heard.
+func (p *Proxy) tidy() {
+	if p.offer == nil {
+		return
+	}
+	if there, err := os.Lstat(p.path); err == nil && os.SameFile(there, p.offered) {
+		_ = os.Remove(p.path)
 	}
 }
 
@@ -537,7 +550,7 @@
 		p.heir = nil
 		p.say("the successor has gone, this process goes on")
 		p.rest(false)
-		if !p.stopping {
+		if !p.life.stopping() {
 			p.offerPlace()
 		}
 	}
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -66,7 +66,7 @@
 
 func (p *Proxy) accept(c *evloop.Conn, listener string) evloop.Handler {
 	p.count.Accepted++
-	f := &flow{p: p, client: c, place: -1, listener: listener}
+	f := &flow{p: p, client: c, place: -1, listener: listener, came: p.loop.Now()}
 	f.stranger = p.strangers.waiting.PushBack(f)
 	f.limit = p.loop.After(greetTime, func() {
 		p.count.NoFirstLine++
@@ -138,7 +138,7 @@
 			return
 		}
 		f.pings++
-		f.client.Write(p.protocol.Ready(!p.drained && !p.starting()))
+		f.client.Write(p.protocol.Ready(!p.life.unready && !p.starting()))
 	}
 }
 
