Close by lingering in one place, and see a peer's end behind a pause

Change: evloop.Linger ends a connection in one way, bounded in time and bytes; Look reads what has come before something is done for a peer; the kernel is asked what is behind a pause. A client's connection has its states in one type. Who says nothing hears BUSY when its time is up.

--- /dev/null
+++ b/cmd/micafront/closing_test.go
@@ -0,0 +1,460 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/micafront/internal/standin"
+	. "example.org/micafront/internal/testkit"
+	"golang.org/x/sys/unix"
+)
+
+// inOneTurn stops the program while f runs: all that f causes is there when it goes on.
+func (w *world) inOneTurn(f func()) {
+	w.t.Helper()
+	w.cmd.Process.Signal(syscall.SIGSTOP)
+	defer w.cmd.Process.Signal(syscall.SIGCONT)
+	for end := time.Now().Add(standin.Patience); ; time.Sleep(time.Millisecond) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.cmd.Process.Pid))
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		if _, rest, _ := strings.Cut(string(stat), ") "); strings.HasPrefix(rest, "T") {
+			break
+		}
+		if time.Now().After(end) {
+			w.t.Fatal("never stopped")
+		}
+	}
+	f()
+}
+
+// read gives all lines up to the end, and how that came.
+func read(p *standin.Peer) (all []string) {
+	for {
+		l := p.Line()
+		if all = append(all, l); strings.HasSuffix(l, "EOF") || l == "RST" {
+			return all
+		}
+	}
+}
+
+// flood writes until nobody takes any more.
+func flood(t *testing.T, p *standin.Peer, chunk string) {
+	t.Helper()
+	chunk = strings.Repeat(chunk, 1+65536/len(chunk))
+	for {
+		p.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+		if _, err := p.Write([]byte(chunk)); errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func reset(p *standin.Peer) {
+	p.SetLinger(0)
+	p.Close()
+}
+
+// mayNotCancel changes the settings to such that a request may not be called off.
+func (w *world) mayNotCancel() {
+	w.t.Helper()
+	w.reload(`"MayCancel":true`, `"MayCancel":false`)
+	w.counts("reloads=1")
+}
+
+// hopThatWaits is a next hop to which connections do not come up before let; then they show up on a channel.
+func hopThatWaits(t *testing.T) (addr string, let func(), conns chan *standin.Peer) {
+	t.Helper()
+	l, free := lateHop(t)
+	conns = make(chan *standin.Peer, 16)
+	return l.Addr().String(), func() {
+		free()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				conns <- standin.NewPeer(t, c)
+			}
+		}()
+	}, conns
+}
+
+// A peer that resets a connection has gone, though the proxy reads nothing from it as the other side takes nothing.
+func TestResetOfPausedPeer(t *testing.T) {
+	for name, chunk := range map[string]string{"client": "y", "next hop": "news\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, conns := one(t)
+			p, s := w.connect(conns, "key")
+			if name != "client" {
+				p = s
+			}
+			flood(t, p, chunk)
+			reset(p)
+			w.counts("open=0")
+			if text := w.errs.text(); strings.Contains(text, " slow_peers=1 ") {
+				t.Errorf("only given up: %s", text)
+			}
+		})
+	}
+}
+
+// A next hop that takes nothing for too long loses its client, which is told where to go: it has done nothing wrong.
+func TestNextHopThatNeverReads(t *testing.T) {
+	w, conns := one(t)
+	c, s := w.connect(conns, "key")
+	flood(t, c, "y")
+	s.Say("news\r\n")
+	Equal(t, "client", []string{"news", "MOVE", "EOF"}, read(c))
+	w.counts("slow_peers=1")
+	w.counts("open=0")
+}
+
+// A client that comes from elsewhere may speak before it stands, within bounds; one that ends its sending behind that
+// has left all the same.
+func TestEndBehindEarlyBytes(t *testing.T) {
+	w, conns := one(t)
+	c := w.dial()
+	c.Say("OPEN early key c=feed,d=20000,mid=1\r\n")
+	s := standin.Await(t, conns)
+	s.Line()
+	c.Say(strings.Repeat("x", 5000))
+	Equal(t, "readiness of one that came later", "PONG", w.ping())
+	c.Say("more")
+	c.CloseWrite()
+	Equal(t, "attempt", "EOF", s.Line())
+	Equal(t, "answer", []string{"ERR", "EOF"}, read(c))
+	w.counts("client_gone=1")
+	w.counts("outcome_cancelled=1")
+}
+
+// Where attempts may not be called off, one that still dials must not go out for a client that has left.
+func TestLeavesWhileDialling(t *testing.T) {
+	for name, leave := range map[string]func(*standin.Peer){
+		"end": func(c *standin.Peer) { c.CloseWrite() }, "close": func(c *standin.Peer) { c.Close() }, "reset": reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, let, conns := hopThatWaits(t)
+			w := start(t, standin.List(1, true, entry("s-1", addr, "in_service")), withStaff)
+			w.mayNotCancel()
+			c := w.dial()
+			c.Say(opening("key"))
+			w.figures(map[string]string{"svc.pending": "1"})
+			leave(c)
+			w.counts("client_gone=1")
+			let()
+			w.counts("outcome_cancelled=1")
+			w.counts("attempts=0")
+			select {
+			case s := <-conns:
+				Equal(t, "at the next hop", "EOF", s.Line())
+			default:
+			}
+		})
+	}
+}
+
+// The connection to a next hop comes up, and only then the proxy sees that the client left long before that.
+func TestLeftBeforeDialCameUp(t *testing.T) {
+	for name, leave := range map[string]func(*standin.Peer){
+		"end": func(c *standin.Peer) { c.CloseWrite() }, "close": func(c *standin.Peer) { c.Close() }, "reset": reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, let, conns := hopThatWaits(t)
+			w := start(t, standin.List(1, true, entry("s-1", addr, "in_service")), withStaff)
+			c := w.dial()
+			c.Say(opening("key"))
+			w.figures(map[string]string{"svc.pending": "1"})
+			var s *standin.Peer
+			w.inOneTurn(func() {
+				let()
+				s = standin.Await(t, conns)
+				leave(c)
+			})
+			Equal(t, "at the next hop", "EOF", s.Line())
+			w.counts("client_gone=1")
+			w.counts("attempts=0")
+		})
+	}
+}
+
+// A burst of clients leaves in the moment in which their next hop turns them all away: nothing more is dialled.
+func TestBurstOfLeavers(t *testing.T) {
+	conns := make(chan *standin.Peer, 64)
+	a, b := standin.NewHop(t, "s-1", conns), standin.NewHop(t, "s-2", conns)
+	w := start(t, standin.List(1, true, entry(a.ID, a.Addr, "in_service"), entry(b.ID, b.Addr, "in_service")), withStaff)
+	const many = 40
+	var clients, at []*standin.Peer
+	for range many {
+		c := w.dial()
+		c.Say(opening("key"))
+		s := standin.Await(t, conns)
+		s.Line()
+		clients, at = append(clients, c), append(at, s)
+	}
+	w.inOneTurn(func() {
+		for _, s := range at {
+			s.Say("BUSY\r\n")
+		}
+		for _, c := range clients {
+			reset(c)
+		}
+	})
+	w.figures(map[string]string{"svc.pending": "0"})
+	// Next hops accept in order: what the proxy dialled would come before what is dialled here.
+	for _, h := range []*standin.Hop{a, b} {
+		own := standin.Dial(t, h.Addr)
+		if s := standin.Await(t, conns); s.RemoteAddr().String() != own.LocalAddr().String() {
+			t.Errorf("%s was dialled, and heard %q", h.ID, s.Line())
+		}
+	}
+	w.counts(fmt.Sprintf("attempts=%d", many))
+}
+
+// One that asks and leaves at once, or before it is accepted, costs the next hops nothing.
+func TestEndWithFirstLine(t *testing.T) {
+	for name, leave := range map[string]func(*standin.Peer){
+		"end": func(c *standin.Peer) { c.CloseWrite() }, "close": func(c *standin.Peer) { c.Close() }, "reset": reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, conns := one(t)
+			accepted := w.dial()
+			accepted.Say("PING\r\n")
+			Equal(t, "readiness", "PONG", accepted.Line())
+			var queued *standin.Peer
+			w.inOneTurn(func() {
+				queued = w.dial()
+				for _, c := range []*standin.Peer{accepted, queued} {
+					c.Say(opening("key"))
+					leave(c)
+				}
+			})
+			if name == "end" {
+				for _, c := range []*standin.Peer{accepted, queued} {
+					Equal(t, "answer", []string{"BUSY", "EOF"}, read(c))
+				}
+			}
+			w.counts("client_gone=2")
+			w.counts("attempts=0")
+			c := w.dial()
+			c.Say("OPEN next key c=feed,d=60000\r\n")
+			if l := standin.Await(t, conns).Line(); !strings.HasPrefix(l, "OPEN next ") {
+				t.Errorf("the next connection says %q", l)
+			}
+		})
+	}
+}
+
+// A client that is sent away to make room hears so, whatever it was saying.
+func TestEvictedHearsSo(t *testing.T) {
+	w, _ := one(t, func(w *world) { w.sockets = 48 }) // fewer strangers than are accepted in a turn
+	var crowd []*standin.Peer
+	w.inOneTurn(func() {
+		for range 20 {
+			p := w.dial()
+			p.Say("OPEN half a li")
+			crowd = append(crowd, p)
+		}
+	})
+	busy := 0
+	for _, p := range crowd {
+		switch got := strings.Join(read(p), " "); {
+		case strings.HasPrefix(got, "BUSY ") && strings.HasSuffix(got, " EOF"):
+			busy++
+		case got != "ERR SYNTAX EOF":
+			t.Errorf("heard %q", got)
+		}
+	}
+	if busy != 12 { // beyond a sixth of 48
+		t.Errorf("%d were sent away to make room", busy)
+	}
+	w.counts("evicted=12")
+}
+
+// One that rests may ask in the very moment in which it would have to make room: it is served.
+func TestAsksWhenItWouldMakeRoom(t *testing.T) {
+	w, conns := one(t, func(w *world) { w.sockets = 96 })
+	var crowd []*standin.Peer
+	for range 16 {
+		p := w.dial()
+		p.Say("PING\r\n")
+		p.Line()
+		crowd = append(crowd, p)
+	}
+	w.inOneTurn(func() {
+		w.dial()
+		crowd[0].Say(opening("key"))
+	})
+	l, s := make(chan string, 1), standin.Await(t, conns)
+	go func() { l <- crowd[0].Line() }()
+	s.Line()
+	s.Say("UP r\r\n")
+	Equal(t, "answer", "UP r", <-l)
+	w.counts("evicted=0")
+}
+
+// Nor is it cut off where its time to say something ends in that moment.
+func TestAsksWhenItsTimeIsUp(t *testing.T) {
+	w, conns := one(t)
+	c := w.dial()
+	c.Say("PING\r\n")
+	Equal(t, "readiness", "PONG", c.Line())
+	w.inOneTurn(func() {
+		time.Sleep(3 * time.Second) // its time passes, and that is the first thing the proxy sees
+		c.Say(opening("key"))
+	})
+	s := standin.Await(t, conns)
+	s.Line()
+	s.Say("UP r\r\n")
+	Equal(t, "answer", "UP r", c.Line())
+}
+
+// One that says nothing hears, before the end, the answer to what it may just be about to ask.
+func TestSilentClientIsAnswered(t *testing.T) {
+	w, _ := one(t)
+	silent, ready := w.dial(), w.dial()
+	ready.Say("PING\r\n")
+	Equal(t, "who said nothing", []string{"BUSY", "EOF"}, read(silent))
+	Equal(t, "who checked readiness", []string{"PONG", "EOF"}, read(ready))
+}
+
+// A move closes a connection on which the next hop is just speaking: it hears an end, and no reset, which would take
+// along what it has yet to read.
+func TestMoveAmidHalfALine(t *testing.T) {
+	w, conns := one(t, withStaff)
+	c, s := w.connect(conns, "key")
+	if status, _ := w.call("PUT", "/api/evacuate"); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	w.inOneTurn(func() {
+		time.Sleep(time.Second) // the move becomes due, and that is the first thing the proxy sees
+		s.Say("half a li")
+		c.Say("half ")
+	})
+	Equal(t, "client", []string{"MOVE", "EOF"}, read(c))
+	Equal(t, "next hop", "EOF", s.Line())
+}
+
+// What a next hop says with its answer, and up to its end, all arrives, however it is cut into segments.
+func TestAnswerAndEndInOneSegment(t *testing.T) {
+	for _, c := range []struct {
+		say  string
+		want []string
+	}{
+		{"UP r\r\n", []string{"UP r", "EOF"}},
+		{"UP r\r\na\r\nb\r\n", []string{"UP r", "a", "b", "EOF"}},
+		{"UP r\r\na\r\nhalf", []string{"UP r", "a", "half|EOF"}},
+		{"UP r\r\nBYE\r\n", []string{"UP r", "BYE", "EOF"}},
+		{"BYE\r\n", []string{"BYE", "EOF"}},
+	} {
+		for _, together := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%q together %v", c.say, together), func(t *testing.T) {
+				t.Parallel()
+				w, conns := one(t)
+				p := w.dial()
+				p.Say(opening("key"))
+				s := standin.Await(t, conns)
+				s.Line()
+				if together {
+					w.inOneTurn(func() { s.Say(c.say); s.Close() })
+				} else {
+					trickle(t, s, c.say)
+					s.Close()
+				}
+				Equal(t, "client", c.want, read(p))
+				w.counts("served=1")
+			})
+		}
+	}
+}
+
+// Both ends of a connection that stands leave in one turn, in any manner: both are ended, and nothing is left.
+func TestBothEndsLeaveAtOnce(t *testing.T) {
+	leave := map[string]func(*standin.Peer){"end": func(p *standin.Peer) { p.CloseWrite() },
+		"close": func(p *standin.Peer) { p.Close() }, "reset": reset}
+	for manner, client := range leave {
+		for other, server := range leave {
+			for _, first := range []bool{true, false} {
+				t.Run(fmt.Sprintf("client's %s and next hop's %s, client first %v", manner, other, first), func(t *testing.T) {
+					t.Parallel()
+					w, conns := one(t, withStaff)
+					standin.Await(t, w.Watches)
+					before := w.descriptors()
+					c, s := w.connect(conns, "key")
+					w.inOneTurn(func() {
+						if first {
+							client(c)
+						}
+						server(s)
+						if !first {
+							client(c)
+						}
+					})
+					w.counts("open=0")
+					c.Close()
+					s.Close()
+					w.figures(map[string]string{"svc.pending": "0"})
+					for end := time.Now().Add(standin.Patience); w.descriptors() > before; time.Sleep(20 * time.Millisecond) {
+						if time.Now().After(end) {
+							t.Fatalf("%d descriptors, %d before", w.descriptors(), before)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// With no descriptor left clients wait, and nothing spins; they are served once there are some again.
+func TestNoDescriptorForAccept(t *testing.T) {
+	w, conns := one(t)
+	standin.Await(t, w.Watches)
+	pid := w.cmd.Process.Pid
+	var was unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &was); err != nil {
+		t.Fatal(err)
+	}
+	none := was
+	none.Cur = 3
+	began := time.Now()
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &none, nil); err != nil {
+		t.Fatal(err)
+	}
+	c := w.dial()
+	c.Say(opening("key"))
+	errorsSoFar := func() (n int) {
+		w.cmd.Process.Signal(syscall.SIGUSR1)
+		text := w.errs.text()
+		if i := strings.LastIndex(text, " accept_errors="); i >= 0 {
+			fmt.Sscanf(text[i:], " accept_errors=%d", &n)
+		}
+		return n
+	}
+	for errorsSoFar() < 20 && time.Since(began) < standin.Patience {
+		time.Sleep(20 * time.Millisecond)
+	}
+	// One in 10 ms; the figure that is read may be older than the clock.
+	if n, most := errorsSoFar(), int(time.Since(began)/(10*time.Millisecond))+1; n < 20 || n > most {
+		t.Errorf("%d accepts failed, want 20 to %d", n, most)
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &was, nil); err != nil {
+		t.Fatal(err)
+	}
+	s := standin.Await(t, conns)
+	s.Line()
+	s.Say("UP r\r\n")
+	Equal(t, "answer", "UP r", c.Line())
+}
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -18,6 +18,12 @@
 	Closed(error) // the connection broke, or never came up; not called after Close or Abort
 }
 
+// Foreteller is a Handler that also wants to hear of an end that is behind bytes that a pause keeps back. Ended follows
+// once they have been read.
+type Foreteller interface {
+	Ending()
+}
+
 // Conn is a stream connection, edge-triggered in both directions for its whole life.
 type Conn struct {
 	loop     *Loop
@@ -30,10 +36,14 @@
 	paused   bool
 	waits    bool // to be read on in a later turn
 	hup      bool // an end or an error is to be read
+	reading  bool // its bytes are being handed out
+	foretold bool // Ending was told
 	ended    bool // the peer ended its sending
 	finish   bool // our sending ends once out is empty
 	finished bool
 	closed   bool
+	sent     int   // bytes that the kernel took
+	failed   error // that a write met
 	rights   bool  // descriptors may come along
 	came     []int // those that did
 }
@@ -91,7 +101,7 @@
 		if c.flush(); c.closed {
 			return
 		}
-		if waited && len(c.out) == 0 {
+		if waited && len(c.out) == 0 && c.writable { // output that a break took along has not gone
 			if c.h.Drained(); c.closed {
 				return
 			}
@@ -108,35 +118,102 @@
 const readTurn = 4
 
 func (c *Conn) read() {
-	if c.waits {
+	if c.waits || c.reading {
 		return // its turn comes: what is ready now must not give it another one
 	}
+	c.reading = true
+	c.readOn()
+	c.reading = false
+	if c.paused && c.hup && !c.closed && !c.ended && c.failed == nil {
+		c.lookBehindPause()
+	}
+}
+
+func (c *Conn) readOn() {
+	buf, nested := c.loop.buf, c.loop.reading
+	if nested { // within another one's Data, by Look
+		buf = make([]byte, 4<<10)
+	}
+	c.loop.reading = true
+	defer func() { c.loop.reading = nested }()
 	for range readTurn {
 		if c.closed || c.paused || c.ended || !c.readable {
 			return
 		}
-		n, err := c.receive(c.loop.buf)
+		n, err := c.receive(buf)
 		switch {
 		case err == unix.EINTR:
 		case err == unix.EAGAIN:
 			c.readable = false
 		case err != nil:
 			c.broke(os.NewSyscallError("read", err))
+		case n == 0 && c.failed != nil:
+			c.broke(c.failed)
 		case n == 0:
 			c.ended = true
 			c.h.Ended()
 		default:
-			if n < len(c.loop.buf) && !c.hup && !c.rights {
+			if n < len(buf) && !c.hup && !c.rights {
 				c.readable = false // the kernel has no more; what comes later is a new edge
 			}
-			c.h.Data(c.loop.buf[:n])
+			c.h.Data(buf[:n])
 		}
 	}
-	if c.readable {
+	if c.readable && !c.closed {
 		c.later()
 	}
 }
 
+// lookBehindPause finds a peer that has gone while it is not read. A reset is told at once, and an end with nothing
+// before it; of any other the handler can only be forewarned. The kernel is asked: the event that told of an end may
+// have been that of a descriptor with the same number, closed earlier in its batch.
+func (c *Conn) lookBehindPause() {
+	poll := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	if _, err := unix.Poll(poll, 0); err != nil {
+		return
+	}
+	if poll[0].Revents&unix.POLLERR != 0 {
+		if errno, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil && errno != 0 {
+			c.broke(os.NewSyscallError("read", unix.Errno(errno)))
+			return
+		}
+	}
+	if poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) == 0 {
+		c.hup = false
+		return
+	}
+	var first [1]byte
+	n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == unix.ECONNRESET:
+		c.broke(os.NewSyscallError("read", err))
+	case err != nil:
+	case n == 0:
+		c.ended = true
+		c.h.Ended()
+	case !c.foretold:
+		c.foretold = true
+		if h, ok := c.h.(Foreteller); ok {
+			h.Ending()
+		}
+	}
+}
+
+// Look reads at once what has come, an end above all, before the poller tells of it: what is about to be done for a
+// peer may have become vain while others had their turn. It may be called from within Data, once that has kept what it
+// was given.
+func (c *Conn) Look() {
+	switch {
+	case c.closed || c.dialling || c.ended || c.waits:
+	case c.paused && c.failed != nil:
+	case c.paused:
+		c.lookBehindPause()
+	default:
+		c.readable = true
+		c.readOn()
+	}
+}
+
 // later reads on in a turn after the sockets that are ready by then. A posted call would not do: the poller runs
 // its queue until that is empty, what is posted meanwhile included, so a flood would be read to its end first.
 func (c *Conn) later() {
@@ -253,6 +330,7 @@
 		switch err {
 		case nil:
 			sent += n
+			c.sent += n
 		case unix.EINTR:
 		case unix.EAGAIN:
 			c.writable = false
@@ -283,9 +361,18 @@
 	}
 }
 
+// fail is for a write that met a break. The kernel tells of it once: to reads that follow it looks like an end. What the
+// peer had said before comes first all the same.
 func (c *Conn) fail(err error) {
 	c.writable, c.out = false, nil
-	_ = c.loop.Post(func() { c.broke(err) })
+	if c.failed != nil {
+		return
+	}
+	c.failed = err
+	_ = c.loop.Post(func() {
+		c.Look()
+		c.broke(err)
+	})
 }
 
 // CloseWrite ends our sending once all output has gone.
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -30,6 +30,7 @@
 	wall      time.Duration // Unix time at start
 	now       time.Duration
 	buf       []byte
+	reading   bool // buf is in use
 }
 
 // New makes a loop whose clock starts at the wall clock's present time.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -32,8 +32,9 @@
 	} else {
 		p.tell(f.pool, micafront.First{ID: f.id, Server: a.hop.id, Attempt: a.no, Latency: p.loop.Now() - a.sentAt})
 	}
-	f.opening, f.table, f.stuck = nil, nil, 0 // a table that is no longer in force must not live as long as its connections
-	if f.in != nil {
+	// A table that is no longer in force must not live as long as its connections.
+	f.opening, f.table, f.stuck = nil, nil, 0
+	if f.in != nil && f.place >= 0 { // it may have been moved at once
 		early := f.in
 		f.in = nil
 		f.toNextHop(early)
@@ -168,6 +169,10 @@
 	f.place = -1
 	f.hold(holdsNothing)
 	f.endClient(last)
+	// What the client said last may still wait for a next hop that reads late.
+	conn := a.conn
+	a.conn = nil
+	conn.Linger(farewell, nil)
 	a.end(s)
 }
 
@@ -213,8 +218,7 @@
 			f.stuck = now
 		case now-f.stuck >= stuckAfter:
 			p.count.SlowPeers++
-			f.attempt.conn.Abort()
-			f.part(micafront.Cancelled, nil)
+			p.move(f, micafront.Cancelled) // where the next hop is the slow one, its client still listens
 		}
 	}
 	if now-p.sweepAt >= noteEvery {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -25,6 +25,9 @@
 }
 
 func (p *Proxy) send(f *flow, s micafront.Send) {
+	if f.client != nil {
+		f.client.Look() // it may have left while others had their turn
+	}
 	now := p.loop.Now()
 	a := &attempt{f: f, no: f.journey.Number(f.attempts), hop: p.hops[s.Server], sentAt: now, until: f.deadline}
 	f.attempts++
@@ -78,6 +81,13 @@
 func (a *attempt) Opened() {
 	p := a.f.p
 	a.up = true
+	if a.f.client != nil {
+		a.f.client.Look()
+	}
+	if a.f.answered { // nobody waits for it any more, and the settings may not allow a cancel
+		a.end(micafront.Cancelled)
+		return
+	}
 	if after, ok := p.permitted(a.f, true); !ok { // the rules may have changed, or a lease ended, since it was dialled
 		p.withhold(a.f, after)
 		a.end(micafront.Moot)
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -21,7 +21,7 @@
 // have had their last message. Both kinds come in floods, and must leave descriptors to requests, whose clients may
 // take a third and their next hops another: beyond a sixth the eldest of them goes.
 type strangers struct {
-	waiting, leaving list.List // of *flow, of *farewell
+	waiting, leaving list.List // of *flow, of *evloop.Lingering
 }
 
 func (p *Proxy) maxStrangers() int {
@@ -31,23 +31,34 @@
 	return max(p.sockets/6, 8)
 }
 
+// lingering is how many of those who leave are not counted, so that who is sent away to make room hears so.
+func (p *Proxy) lingering() int { return p.maxStrangers() / 4 }
+
+// crowd is how many strangers there are.
+func (p *Proxy) crowd() int {
+	return p.strangers.waiting.Len() + max(p.strangers.leaving.Len()-p.lingering(), 0)
+}
+
+// makeRoom lets the eldest go.
 func (p *Proxy) makeRoom() {
-	for p.strangers.waiting.Len()+p.strangers.leaving.Len() > p.maxStrangers() {
+	most, linger := p.maxStrangers(), p.lingering()
+	for p.crowd() > most {
 		p.count.Evicted++
 		// Those who have had their answer go first, unless most are silent: who has only just connected must
 		// not make way for them.
 		e := p.strangers.waiting.Front()
-		if e != nil && (p.strangers.leaving.Len() == 0 || p.strangers.waiting.Len() > p.maxStrangers()/2) {
+		if e != nil && (p.strangers.leaving.Len() <= linger || p.strangers.waiting.Len() > most/2) {
 			f := e.Value.(*flow)
 			c := f.client
 			p.count.NoRoom++
 			f.noStranger()
 			f.client = nil
 			c.Write(p.protocol.Defer(min(noRoomAfter, p.set.Limits.MaxRetryAfter)))
-			c.Close()
-			continue
+			p.dismiss(c)
+		}
+		if p.strangers.leaving.Len() > linger {
+			p.strangers.leaving.Front().Value.(*evloop.Lingering).End()
 		}
-		p.strangers.leaving.Front().Value.(*farewell).end()
 	}
 }
 
@@ -61,6 +72,25 @@
 	}
 }
 
+// clientState is where a client's connection is. One that has had its last message is heard by evloop alone.
+type clientState int
+
+const (
+	greeting  clientState = iota // it has yet to say what it wants
+	requested                    // it waits for its answer
+	standing                     // it is a next hop's
+)
+
+func (f *flow) state() clientState {
+	switch {
+	case f.place >= 0:
+		return standing
+	case f.id != "":
+		return requested
+	}
+	return greeting
+}
+
 // senderSide hears a client's connection.
 type senderSide struct{ *flow }
 
@@ -68,32 +98,44 @@
 	p.count.Accepted++
 	f := &flow{p: p, client: c, place: -1, listener: listener, came: p.loop.Now()}
 	f.stranger = p.strangers.waiting.PushBack(f)
-	f.limit = p.loop.After(greetTime, func() {
-		p.count.NoFirstLine++
-		if len(f.in) > 0 {
-			f.malformed()
-			return
-		}
-		f.noStranger()
-		f.client = nil
-		c.Close()
-	})
+	f.limit = p.loop.After(greetTime, f.greetingOver)
+	if e := p.strangers.waiting.Front(); p.crowd() > p.maxStrangers() && e.Value != f {
+		e.Value.(*flow).client.Look() // it may have spoken just now
+	}
 	p.makeRoom()
 	return senderSide{f}
 }
 
+// greetingOver ends a client that has not said in time what it wants. One that rested may have spoken just now: what it
+// asked counts if it has come, and else meets an answer, for a request that crosses an end is lost.
+func (f *flow) greetingOver() {
+	p := f.p
+	if f.client.Look(); f.stranger == nil {
+		return
+	}
+	p.count.NoFirstLine++
+	switch {
+	case len(f.in) > 0:
+		f.malformed()
+	case f.pings == 0:
+		f.endClient(p.protocol.Defer(0))
+	default:
+		f.endClient(nil) // it only checks readiness, and would take the word for an answer to that
+	}
+}
+
 func (p *Proxy) acceptFailed(error) { p.count.AcceptErrors++ }
 
 func (s senderSide) Opened() {}
 
 func (s senderSide) Data(b []byte) {
 	f := s.flow
-	if f.opening == nil && f.id == "" {
+	switch f.state() {
+	case greeting:
 		f.in = append(f.in, b...)
 		f.greet()
 		return
-	}
-	if f.place >= 0 {
+	case standing:
 		f.toNextHop(b)
 		return
 	}
@@ -154,6 +196,21 @@
 	f.final(failed)
 	f.answer(f.p.protocol.Malformed())
 	f.giveUp()
+	f.callOffDial()
+}
+
+// left books a client that has gone before its answer: nothing more may be sent for it.
+func (f *flow) left() {
+	f.in = nil
+	f.gone()
+	f.callOffDial()
+}
+
+// callOffDial ends an attempt whose line has not gone out. That is no cancel, which the settings may not allow.
+func (f *flow) callOffDial() {
+	if f.attempt != nil && !f.attempt.up {
+		f.callOff()
+	}
 }
 
 // takeIn books a request under an id of the proxy's own: ids that clients make up may repeat. What no next hop
@@ -200,20 +257,28 @@
 
 func (s senderSide) Ended() {
 	f := s.flow
-	switch {
-	case f.id == "" && len(f.in) > 0: // half a message
-		p := f.p
-		p.count.BadLines++
+	switch f.state() {
+	case greeting:
+		if len(f.in) == 0 { // nothing was asked
+			f.endClient(nil)
+			return
+		}
+		f.p.count.BadLines++ // half a message
 		f.malformed()
-	case f.id == "": // nothing was asked
-		f.endClient(nil)
-	case f.place >= 0:
+	case standing:
 		f.clientEnded()
-	default:
+	case requested:
 		// Ending its sending gives the request up, as on the side of the next hops; if it only did half
 		// of that, it still hears how this ended.
-		f.in = nil
-		f.gone()
+		f.left()
+	}
+}
+
+// Ending is for a client that has ended its sending behind bytes that wait for its connection to stand: it has left, and
+// nothing more may be sent for it.
+func (s senderSide) Ending() {
+	if f := s.flow; f.state() == requested {
+		f.left()
 	}
 }
 
@@ -227,17 +292,15 @@
 	f := s.flow
 	f.noStranger()
 	f.client = nil
-	switch {
-	case f.id == "":
-	case f.place >= 0:
+	switch f.state() {
+	case standing:
 		f.clientBroke()
-	default:
-		f.gone()
+	case requested:
+		f.left()
 	}
 }
 
-// endClient gives the last message to the sender side and ends it once that has gone. The connection is read to
-// its end for a while: closing over unread bytes would reset it and could take the message along.
+// endClient gives the last message to the sender side and ends it once that has gone.
 func (f *flow) endClient(last []byte) {
 	p, c := f.p, f.client
 	f.noStranger()
@@ -246,62 +309,18 @@
 	}
 	f.client = nil
 	c.Write(last)
-	if c.IsEnded() && c.Pending() == 0 {
-		c.Close()
-		return
-	}
-	l := &farewell{p: p, conn: c, since: p.loop.Now()}
-	l.place = p.strangers.leaving.PushBack(l)
-	l.limit = p.loop.After(farewellTime, l.look)
-	c.SetHandler(l)
-	c.Resume()
-	c.CloseWrite()
+	p.dismiss(c)
 	p.makeRoom()
 }
 
-const (
-	farewellTime = time.Second     // without a byte from the client
-	drainTime    = 5 * time.Second // for one that goes on sending; it has had its answer
-)
-
-// farewell hears a connection that has had its last message. Tens of megabytes may be on their way still.
-type farewell struct {
-	p     *Proxy
-	conn  *evloop.Conn
-	limit *evloop.Timer
-	place *list.Element
-	since time.Duration
-	came  bool // bytes, since the last look
-}
-
-func (l *farewell) Opened()     {}
-func (l *farewell) Data([]byte) { l.came = true }
-func (l *farewell) Drained()    { l.check() }
-func (l *farewell) Ended()      { l.check() }
-func (l *farewell) check() {
-	if l.conn.IsEnded() && l.conn.Pending() == 0 {
-		l.end()
+// dismiss closes a client's connection that has had its last message.
+func (p *Proxy) dismiss(c *evloop.Conn) {
+	var place *list.Element
+	if l := c.Linger(farewell, func() { p.strangers.leaving.Remove(place) }); l != nil {
+		place = p.strangers.leaving.PushBack(l)
 	}
 }
 
-func (l *farewell) look() {
-	if !l.came || l.p.loop.Now()-l.since >= drainTime {
-		l.end()
-		return
-	}
-	l.came = false
-	l.limit = l.p.loop.After(farewellTime, l.look)
-}
-
-func (l *farewell) end() {
-	l.Closed(nil)
-	l.conn.Close()
-}
-
-func (l *farewell) Closed(error) {
-	l.p.loop.Cancel(l.limit)
-	if l.place != nil {
-		l.p.strangers.leaving.Remove(l.place)
-		l.place = nil
-	}
-}
+// farewell bounds how long a peer that has had its last message may still send, and how much: tens of megabytes may be
+// on their way.
+var farewell = evloop.Bounds{Idle: time.Second, Total: 5 * time.Second, Bytes: 64 << 20}
