Give an attempt its stages in one type, and look again before its first line goes out

Causes (send.go unless said): the first line went out by what the module had decided when it began to dial, though by then the window of a keyed repeat had ended, the next hop drained or was gone, or the client had left; a closed attempt's line still arrived from the kernel's buffer, as a second copy; a failed write counted as written, and so a request that never ran as one that may have; a next hop gone before the line was written was written to all the same. A class dropped at SIGHUP lost its effect in a new pool's module; an unknown DedupScope was read as the loosest (wire/env.go); a chunked call of the operators' with bytes behind its end never ended (operator/http.go, found by fuzzing); a huge GiveUp overflowed.

--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -35,6 +35,7 @@
 	site     string             // the configuration in the site language, in place of JSON
 	dialTime float64            // in seconds, the longest that a connection may take to come up
 	extra    string             // further settings, as JSON members that end in a comma
+	edits    []string           // texts of the configuration and what stands in their place, in pairs
 	env      []string           // further variables
 	hopConns chan *standin.Peer // of the next hops, where a test has them from here
 	operator string             // where operators call; "": nowhere
@@ -69,13 +70,13 @@
 	for _, f := range change {
 		f(w)
 	}
-	w.cmd, w.path = program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"operator":%q,"seed":"5be964",
+	w.cmd, w.path = program(t, strings.NewReplacer(w.edits...).Replace(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"operator":%q,"seed":"5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,%s"settings":{"Balancers":1,
 		"Discovery":"subscribe","Zone":"a",%s"Categories":[{"Name":"feed","Aim":30,"GiveUp":60,"Credit":5,
 		"Effect":"safe","DedupScope":"all"}],"Limits":{"AttemptsCap":6,"ConnectTimeout":%g,
 		"MaxRetryAfter":1,"MaxOpen":100000,"RetryAfter":true,"MayCancel":true,"Probes":true},"Invariants":{
 		"AnswerSlack":0.016,"AskEvery":1,"Cold":8.9,"ColdFrom":0.3,"DrainGrace":3,"Fall":1,
-		"OverloadFactor":3}}}`, w.Discovery.Addr, w.operator, w.sockets, known, w.routing, w.extra, w.dialTime))
+		"OverloadFactor":3}}}`, w.Discovery.Addr, w.operator, w.sockets, known, w.routing, w.extra, w.dialTime)))
 	w.cmd.Env = append(w.cmd.Env, w.env...)
 	if w.site != "" {
 		w.path = strings.TrimSuffix(w.path, ".json") + ".cue"
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -43,7 +43,7 @@
 	finished bool
 	closed   bool
 	sent     int   // bytes that the kernel took
-	failed   error // that a write met
+	failed   error // that a write met: what waited is lost, and Closed comes
 	rights   bool  // descriptors may come along
 	came     []int // those that did
 }
@@ -64,6 +64,13 @@
 // Pending is how many bytes wait for the kernel.
 func (c *Conn) Pending() int { return len(c.out) }
 
+// Sent tells that the kernel has taken all that was written. Without pending bytes it may also have refused them.
+func (c *Conn) Sent() bool { return len(c.out) == 0 && c.failed == nil && !c.closed }
+
+// HungUp tells that an end or a break seems to be there to be read. Within Opened it says that the peer has ended the
+// connection before anything was written, unless the event was of an earlier one with the same descriptor.
+func (c *Conn) HungUp() bool { return c.hup }
+
 // IsEnded tells that the peer has ended its sending.
 func (c *Conn) IsEnded() bool { return c.ended }
 
@@ -90,6 +97,7 @@
 			return
 		}
 		c.dialling, c.writable = false, true
+		c.hup = ev&(unix.EPOLLRDHUP|errEvents) != 0
 		c.h.Opened()
 	}
 	if c.closed {
@@ -101,7 +109,7 @@
 		if c.flush(); c.closed {
 			return
 		}
-		if waited && len(c.out) == 0 && c.writable { // output that a break took along has not gone
+		if waited && c.Sent() { // output that a break took along has not gone
 			if c.h.Drained(); c.closed {
 				return
 			}
@@ -405,6 +413,19 @@
 	c.came = nil
 }
 
+// Drop ends the connection so that nothing which the peer has not yet got arrives any more. After a mere Close the
+// kernel would go on sending what it has taken, for minutes where the peer's machine is slow or cut off.
+func (c *Conn) Drop() {
+	if c.closed {
+		return
+	}
+	if n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ); len(c.out) > 0 || err == nil && n > 0 {
+		c.Abort()
+		return
+	}
+	c.Close()
+}
+
 // Abort ends the connection with a reset.
 func (c *Conn) Abort() {
 	if !c.closed {
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -81,3 +81,16 @@
 		}
 	})
 }
+
+// Whatever a next hop says is one of the words that there are, and a load is a figure that sums can hold, or none.
+func FuzzParseAnswer(f *testing.F) {
+	for _, s := range []string{"UP r\r\n", "UP", "LOAD 1e400\r\n", "LOAD -0\r\n", "LOAD 0x1p-2\r\n", "BUSY 5\r\n", "UPX\r\n", " UP r\r\n", "\n", ""} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		a, x := ParseAnswer(text)
+		if a < Other || a > Load || x < -1 || x > 1e308*1.7 || x != x || a != Load && x != 0 {
+			t.Fatalf("%q is %v, %v", text, a, x)
+		}
+	})
+}
--- a/internal/operator/http.go
+++ b/internal/operator/http.go
@@ -50,8 +50,9 @@
 		return p.call, nil
 	}
 	if p.chunk {
-		// Only its end matters, and no chunk of a body this short can hold what looks like it by accident.
-		if bytes.HasPrefix(p.buf, []byte("0\r\n\r\n")) || bytes.HasSuffix(p.buf, []byte("\r\n0\r\n\r\n")) {
+		// Only its end matters, whatever came along behind it, and no chunk of a body this short can hold what looks like
+		// it by accident.
+		if bytes.HasPrefix(p.buf, []byte("0\r\n\r\n")) || bytes.Contains(p.buf, []byte("\r\n0\r\n\r\n")) {
 			return p.call, nil
 		}
 	}
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -25,8 +25,13 @@
 // noRoomAfter is when a client may come again that met a proxy with no room.
 const noRoomAfter = time.Second
 
+// longestWait bounds what the settings may have a client wait: beyond it times would overflow when they are added.
+const longestWait = 24 * time.Hour
+
 func (p *Proxy) admit(f *flow) {
 	o := f.opening
+	c, _ := p.classOf(o)
+	f.repeats.class = &c
 	// Beyond the limits requests are sent back before they reach the module.
 	if !p.room(spareSockets) ||
 		p.set.Limits.MaxOpen > 0 && len(p.flows) > p.set.Limits.MaxOpen {
@@ -35,16 +40,15 @@
 		return
 	}
 	if after, ok := p.permitted(f, false); !ok {
-		p.withhold(f, after)
+		p.refuse(f, after)
 		return
 	}
 	if p.life.late(p.loop.Now()) { // what it would be sent on for could not come back in time
 		p.refuse(f, 0)
 		return
 	}
-	c, _ := p.classOf(o)
-	if f.safe = c.Effect == micafront.Safe; !o.HasWait {
-		o.Wait = c.GiveUp
+	if !o.HasWait {
+		o.Wait = min(c.GiveUp, longestWait)
 	}
 	if !p.routed(f) {
 		return
@@ -78,8 +82,13 @@
 		Attempts: f.journey.Attempts(p.set.Limits.Attempts)}
 }
 
-// refuse and fail give the final answer at once, whatever time the client would still wait.
+// refuse and fail give the final answer at once, whatever time the client would still wait. All refusals of requests
+// that have come this far pass here: one that would promise too much is a failure.
 func (p *Proxy) refuse(f *flow, after time.Duration) {
+	if !f.mayDefer() {
+		p.fail(f)
+		return
+	}
 	if !f.answered {
 		p.count.Deferred++
 		f.final(rejected)
--- a/internal/proxy/book.go
+++ b/internal/proxy/book.go
@@ -33,6 +33,9 @@
 			zap.Duration("took", p.loop.Now()-a.sentAt))
 	}
 	f.journey.Ended(s.NeverRan())
+	if !s.NeverRan() {
+		f.repeats.ran(a)
+	}
 	p.tell(f.pool, micafront.Outcome{ID: f.id, Server: a.hop.id, Attempt: a.no, Status: s,
 		Latency: p.loop.Now() - a.sentAt, Final: f.answered})
 	p.forget(f)
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -239,15 +239,6 @@
 	return routing.Contested(old, new, &was, &is)
 }
 
-// withhold gives a request that may not be placed its final answer.
-func (p *Proxy) withhold(f *flow, after time.Duration) {
-	if f.journey.Ran() && !f.safe {
-		p.fail(f) // an attempt may have run: no promise that a repeat is harmless
-		return
-	}
-	p.refuse(f, after)
-}
-
 // leave lets the keepers know that this process takes nothing new any more.
 func (m *member) leave() { m.tell(agreement.Leave{}) }
 
--- a/internal/proxy/leave.go
+++ b/internal/proxy/leave.go
@@ -120,7 +120,7 @@
 		if f == nil || f.answered {
 			continue
 		}
-		if f.journey.Ran() || f.attempt != nil && f.attempt.wrote {
+		if f.journey.Ran() || f.attempt != nil && f.attempt.stage >= asked {
 			p.fail(f)
 		} else {
 			p.refuse(f, 0)
--- a/internal/proxy/life.go
+++ b/internal/proxy/life.go
@@ -60,7 +60,7 @@
 	evacuated       // the operators send clients elsewhere; who comes all the same is served
 	leaving         // told to stop: takes in, answers, moves
 	shut            // takes in nothing more
-	over            // the loop ends
+	exited          // the loop ends
 )
 
 type life struct {
@@ -169,7 +169,7 @@
 		}
 		// What was accepted last is read at least once: shut over unread bytes its connection would be reset.
 		if now-l.shutAt >= stopStep && (past >= end || !v.owed && !v.standing) {
-			l.phase = over
+			l.phase = exited
 			return endProcess
 		}
 	}
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -220,7 +220,7 @@
 	}
 	left := f.deadline - p.loop.Now()
 	if f.opening == nil || f.opening.MidFlow || f.journey.Refused(f.table, left, p.set.Rules.AnswerSlack, p.set.Limits.Attempts,
-		f.safe, f.attempt != nil, p.useIn(f.table)) != routing.Go {
+		f.repeats.safe(), f.attempt != nil, p.useIn(f.table)) != routing.Go {
 		p.refuse(f, p.advice(f, after))
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -69,6 +69,7 @@
 	entry          registry.Entry
 	samples        []time.Duration
 	late           bool          // told to the module as slow
+	leaving        time.Duration // since when it has been known to drain, or to be gone; 0: it takes requests
 	inquiry        *inquiry      // about its load; nil: none is open
 	told           time.Duration // when it last told by itself how long its messages take
 }
@@ -79,7 +80,7 @@
 	id       string
 	opening  *Opening // until the connection stands
 	class    string
-	safe     bool           // may be repeated freely
+	repeats  repeats
 	listener string         // that took it in
 	table    *routing.Table // by which it was routed
 	pool     *pool
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -19,6 +19,7 @@
 // stand makes the connection the next hop's.
 func (f *flow) stand(a *attempt) {
 	p := f.p
+	a.stage = standing
 	p.loop.Cancel(a.limit)
 	p.count.Up++
 	p.count.Served++
@@ -70,7 +71,7 @@
 			a.conn.Pause()
 		}
 	}
-	for rest := b[:n]; len(rest) > 0 && !a.over; {
+	for rest := b[:n]; len(rest) > 0 && a.stage != over; {
 		var m []byte
 		m, rest = p.protocol.Cut(rest)
 		sign, x := p.protocol.Read(m)
@@ -81,7 +82,7 @@
 			f.answeredMessage()
 		}
 	}
-	if len(a.tail) > p.protocol.MaxMessage() && !a.over {
+	if len(a.tail) > p.protocol.MaxMessage() && a.stage != over {
 		p.count.Overlong++
 		p.move(f, micafront.Reset)
 	}
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"example.org/micafront"
 	"example.org/micafront/internal/registry"
@@ -58,7 +59,7 @@
 			p.fail(f)
 		}
 	case micafront.Cancel:
-		if f := p.flows[a.ID]; f != nil && f.attempt != nil && f.attempt.no == a.Attempt && f.place < 0 {
+		if f := p.flows[a.ID]; f != nil && f.attempt != nil && f.attempt.no == a.Attempt && f.attempt.stage != standing {
 			f.callOff()
 		}
 	case micafront.Move:
@@ -101,6 +102,7 @@
 		}
 		for id := range p.hops {
 			if !named[id] {
+				p.hops[id].leaves(p.loop.Now())
 				delete(p.hops, id) // those who are still connected keep their own hold on it
 			}
 		}
@@ -116,12 +118,24 @@
 		}
 		h.zone, h.entry = e.Zone, e
 		h.entry.HostPort = h.addr
+		if e.Lifecycle == registry.InService {
+			h.leaving = 0
+		} else {
+			h.leaves(p.loop.Now())
+		}
 		if e.Lifecycle == registry.Terminated {
 			delete(p.hops, e.ID)
 		}
 	}
 }
 
+// leaves notes when a next hop was first known to take nothing new.
+func (h *hop) leaves(now time.Duration) {
+	if h.leaving == 0 {
+		h.leaving = now
+	}
+}
+
 func (p *Proxy) listFailed(err error) {
 	p.count.ListFailures++
 	if errors.Is(err, registry.ErrBroken) {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -9,16 +9,25 @@
 
 // Send: one delivery attempt, from the dial to the next hop's first word. Each ends in exactly one outcome.
 
+// stage is how far an attempt has come. It only goes forward, and what an event means follows from it alone.
+type stage int
+
+const (
+	dialling stage = iota // nothing has gone out
+	writing               // the first message has not gone out in full: it cannot run
+	asked                 // it has: it may have run
+	standing              // the next hop has taken the connection
+	over                  // its outcome is told
+)
+
 type attempt struct {
 	f      *flow
 	no     int
 	hop    *hop
 	conn   *evloop.Conn
+	stage  stage
 	sentAt time.Duration
 	until  time.Duration // when the proxy stops waiting
-	up     bool          // dialled
-	wrote  bool          // the first message has gone in full
-	over   bool
 	last   Sign
 	tail   []byte // the start of a message whose end has not come
 	limit  *evloop.Timer
@@ -38,15 +47,15 @@
 	if s.Timeout != 0 {
 		a.until = min(now+s.Timeout, f.deadline)
 	}
-	if f.answered || f.attempt != nil || f.attempts > p.set.Limits.Attempts || a.until <= now {
+	if f.attempt != nil || f.attempts > p.set.Limits.Attempts || a.until <= now || !a.mayGoOut() {
 		// Never two at once, none past the end: what must not go out is reported as never sent.
-		a.over = true
+		a.stage = over
 		p.book(a, micafront.Moot)
 		return
 	}
 	if after, ok := p.permitted(f, false); !ok {
-		a.over = true
-		p.withhold(f, after)
+		a.stage = over
+		p.refuse(f, after)
 		p.book(a, micafront.Moot)
 		return
 	}
@@ -54,6 +63,21 @@
 	a.dial()
 }
 
+// mayGoOut tells whether the first message may be written now. The module decided so when it sent the attempt; while
+// that was dialled the client may have gone, the next hop may have begun to drain, and the time in which a repeat is
+// recognised may have ended.
+func (a *attempt) mayGoOut() bool {
+	f, now := a.f, a.f.p.loop.Now()
+	if f.answered || !f.repeats.mayRun(a.hop, now) {
+		return false
+	}
+	o := f.opening
+	if a.hop.leaving == 0 || o.Standing != "" {
+		return true
+	}
+	return o.MidFlow && now-a.hop.leaving < f.p.set.Rules.DrainGrace // it stands there already
+}
+
 // dial begins the attempt. It must come up within the settings' time.
 func (a *attempt) dial() {
 	p := a.f.p
@@ -73,138 +97,176 @@
 		return
 	}
 	a.conn = conn
-	wait := min(p.set.Limits.ConnectTimeout, a.until-p.loop.Now())
-	a.limit = p.loop.After(wait, func() { a.end(micafront.ConnectFailed) })
+	now := p.loop.Now()
+	wait, status := min(p.set.Limits.ConnectTimeout, a.until-now), micafront.ConnectFailed
+	if by, bound := a.f.repeats.until(); bound && by-now < wait {
+		wait, status = by-now, micafront.Moot
+	}
+	a.limit = p.loop.After(wait, func() { a.end(status) })
 }
 
 // Opened and the methods below are evloop's Handler.
 func (a *attempt) Opened() {
 	p := a.f.p
-	a.up = true
 	if a.f.client != nil {
-		a.f.client.Look()
+		a.f.client.Look() // it may have left while this was dialled
+	}
+	if a.stage == over {
+		return
+	}
+	left := a.until - p.loop.Now()
+	if left <= 0 { // its timer runs later in this turn
+		a.end(micafront.ConnectFailed)
+		return
 	}
 	if a.f.answered { // nobody waits for it any more, and the settings may not allow a cancel
 		a.end(micafront.Cancelled)
 		return
 	}
+	if !a.mayGoOut() {
+		a.end(micafront.Moot)
+		return
+	}
 	if after, ok := p.permitted(a.f, true); !ok { // the rules may have changed, or a lease ended, since it was dialled
-		p.withhold(a.f, after)
+		p.refuse(a.f, after)
 		a.end(micafront.Moot)
 		return
 	}
+	a.stage = writing
 	p.loop.Cancel(a.limit)
-	left := a.until - p.loop.Now()
 	a.limit = p.loop.After(left, a.expired)
-	b := a.f.opening.Forward(left)
-	p.count.BytesToNextHops += counter(len(b))
-	a.conn.Write(b)
-	if a.conn.Pending() == 0 {
+	if a.conn.HungUp() {
+		// What the next hop said at its end is read in this turn, and nothing has run there. If there is none, the
+		// event was of a connection that was closed in this turn and had this descriptor.
+		p.loop.After(0, a.ask)
+		return
+	}
+	a.ask()
+}
+
+// ask writes the first message.
+func (a *attempt) ask() {
+	p := a.f.p
+	switch left := a.until - p.loop.Now(); {
+	case a.stage != writing:
+	case left <= 0:
+		a.end(micafront.ConnectFailed)
+	case !a.mayGoOut():
+		a.end(micafront.Moot)
+	default:
+		b := a.f.opening.Forward(left)
+		p.count.BytesToNextHops += counter(len(b))
+		a.conn.Write(b)
 		a.written()
 	}
 }
 
-// written books the attempt: from here on it may have run.
+// written books the attempt once its message has gone in full: from here on it may have run.
 func (a *attempt) written() {
-	if !a.wrote {
-		a.wrote = true
+	if a.stage == writing && a.conn.Sent() {
+		a.stage = asked
 		a.f.p.count.Attempts++
 	}
 }
 
-func (a *attempt) expired() {
-	if !a.wrote {
-		a.end(micafront.ConnectFailed)
+func (a *attempt) Drained() {
+	a.written()
+	if a.stage == standing && a.f.client != nil {
+		a.f.client.Resume()
+	}
+}
+
+func (a *attempt) expired() { a.endWithout(micafront.Timeout) }
+
+func (a *attempt) Ended() {
+	if a.stage == standing {
+		a.f.hopEnded()
 		return
 	}
-	a.end(micafront.Timeout)
+	a.endWithout(micafront.Reset)
 }
 
-func (a *attempt) Drained() {
-	a.written()
-	if a.f.place >= 0 && a.f.client != nil {
-		a.f.client.Resume()
+func (a *attempt) Closed(error) {
+	if a.stage == standing {
+		a.f.hopBroke()
+		return
 	}
+	a.endWithout(micafront.Reset)
+}
+
+// endWithout ends an attempt that got no word: s where it may have run.
+func (a *attempt) endWithout(s micafront.Status) {
+	if a.stage < asked {
+		s = micafront.ConnectFailed
+	}
+	a.end(s)
 }
 
 func (a *attempt) Data(b []byte) {
-	if a.f.place >= 0 {
+	if a.stage == standing {
 		a.fromNextHop(b)
 		return
 	}
+	p := a.f.p
 	a.tail = append(a.tail, b...)
 	b = a.tail
-	p := a.f.p
-	whole := p.protocol.Whole(b)
-	for len(b) > 0 && whole > 0 && !a.over {
+	for whole := p.protocol.Whole(b); whole > 0 && a.stage != over; {
 		m, rest := p.protocol.Cut(b)
+		if len(m) > p.protocol.MaxMessage() { // in how many pieces it came must not matter
+			break
+		}
 		whole -= len(m)
-		sign, _ := p.protocol.Read(m)
-		a.last = sign
-		switch sign {
-		case SignUp:
-			if a.f.client == nil { // its client has gone or was answered, and attempts may not be called off: nobody is left to stand for
-				a.end(micafront.Cancelled)
-				return
-			}
+		if a.answer(m); a.stage == standing {
 			a.tail = nil
-			a.f.stand(a)
 			a.fromNextHop(b) // the message itself and what follows
 			return
-		case SignBye:
-			if !a.f.answered { // else its final answer has been counted
-				a.f.answered = true
-				a.f.hold(holdsNothing)
-				p.count.Served++
-				a.f.final(completed)
-				a.f.endClient(m)
-			}
-			a.end(micafront.OK)
-		case SignMove:
-			a.end(micafront.Cancelled)
-		case SignFull:
-			a.end(micafront.Full)
-		case SignError:
-			a.end(micafront.AppError)
-		case SignOther:
-			p.count.BadLines++
-			a.end(micafront.AppError)
 		}
 		b = rest
 	}
-	if a.over {
+	if a.stage == over {
 		return
 	}
 	if len(b) > p.protocol.MaxMessage() {
 		p.count.Overlong++
-		a.end(micafront.AppError)
+		a.endWithout(micafront.AppError)
 		return
 	}
 	a.tail = append(a.tail[:0], b...)
 }
 
-func (a *attempt) Ended() {
-	if a.f.place >= 0 {
-		a.f.hopEnded()
-		return
-	}
-	a.broke()
-}
-
-func (a *attempt) Closed(error) {
-	if a.f.place >= 0 {
-		a.f.hopBroke()
-		return
-	}
-	a.broke()
-}
-
-func (a *attempt) broke() {
-	if !a.wrote {
+// answer takes a message from a next hop at which the connection does not stand yet.
+func (a *attempt) answer(m []byte) {
+	p, f := a.f.p, a.f
+	a.last, _ = p.protocol.Read(m)
+	switch {
+	case a.last == SignLoad:
+	case a.last == SignFull:
+		a.end(micafront.Full)
+	case a.last == SignOther:
+		p.count.BadLines++
+		a.endWithout(micafront.AppError)
+	case a.stage < asked: // no answer: it has yet to be asked
+		p.count.BadLines++
 		a.end(micafront.ConnectFailed)
-		return
+	case a.last == SignError:
+		a.end(micafront.AppError)
+	case a.last == SignMove:
+		a.end(micafront.Cancelled)
+	case a.last == SignBye:
+		if !f.answered {
+			f.answered = true
+			f.hold(holdsNothing)
+			p.count.Served++
+			f.final(completed)
+			f.endClient(m)
+		}
+		a.end(micafront.OK)
+	case f.answered: // where no attempt may be called off, its client may be gone by now
+		a.end(micafront.Cancelled)
+	default:
+		f.repeats = repeats{}
+		f.stand(a)
 	}
-	a.end(micafront.Reset)
 }
 
 // callOff ends the attempt that is out, if one is. One that still dials never writes its line.
@@ -216,14 +278,17 @@
 
 // end closes the attempt's connection before its outcome is told: the module may send the next one at once.
 func (a *attempt) end(s micafront.Status) {
-	if a.over {
+	if a.stage == over {
 		return
 	}
-	a.over = true
+	stood := a.stage == standing
+	a.stage = over
 	p, f := a.f.p, a.f
 	p.loop.Cancel(a.limit)
-	if a.conn != nil {
+	if a.conn != nil && stood {
 		a.conn.Close()
+	} else if a.conn != nil {
+		a.conn.Drop() // a message that arrived later might run beside that of the next attempt
 	}
 	f.attempt = nil
 	if f.opening != nil && f.opening.Standing != "" {
--- a/internal/proxy/succeed.go
+++ b/internal/proxy/succeed.go
@@ -409,7 +409,7 @@
 	if h == nil {
 		h = &hop{id: r.Open.Server, addr: r.Addr}
 	}
-	a := &attempt{f: f, hop: h, sentAt: p.loop.Now(), up: true, wrote: true, tail: r.Tail, last: r.Last}
+	a := &attempt{f: f, hop: h, sentAt: p.loop.Now(), stage: standing, tail: r.Tail, last: r.Last}
 	var err error
 	if f.client, err = p.loop.Adopt(fds[0], senderSide{f}); err == nil {
 		if a.conn, err = p.loop.Adopt(fds[1], a); err != nil {
--- a/internal/proxy/takein.go
+++ b/internal/proxy/takein.go
@@ -78,13 +78,13 @@
 const (
 	greeting  clientState = iota // it has yet to say what it wants
 	requested                    // it waits for its answer
-	standing                     // it is a next hop's
+	relaying                     // it is a next hop's
 )
 
 func (f *flow) state() clientState {
 	switch {
 	case f.place >= 0:
-		return standing
+		return relaying
 	case f.id != "":
 		return requested
 	}
@@ -135,7 +135,7 @@
 		f.in = append(f.in, b...)
 		f.greet()
 		return
-	case standing:
+	case relaying:
 		f.toNextHop(b)
 		return
 	}
@@ -208,7 +208,7 @@
 
 // callOffDial ends an attempt whose line has not gone out. That is no cancel, which the settings may not allow.
 func (f *flow) callOffDial() {
-	if f.attempt != nil && !f.attempt.up {
+	if f.attempt != nil && f.attempt.stage < asked {
 		f.callOff()
 	}
 }
@@ -265,7 +265,7 @@
 		}
 		f.p.count.BadLines++ // half a message
 		f.malformed()
-	case standing:
+	case relaying:
 		f.clientEnded()
 	case requested:
 		// Ending its sending gives the request up, as on the side of the next hops; if it only did half
@@ -293,7 +293,7 @@
 	f.noStranger()
 	f.client = nil
 	switch f.state() {
-	case standing:
+	case relaying:
 		f.clientBroke()
 	case requested:
 		f.left()
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -35,8 +35,12 @@
 	StartedAtMs int64   `json:"startedAtMs"`
 }
 
-// Terminated is the lifecycle of a next hop that is gone; it is named in changes only.
-const Terminated = "terminated"
+// InService is the lifecycle of a next hop that takes requests, Terminated that of one that is gone; this is named in
+// changes only.
+const (
+	InService  = "in_service"
+	Terminated = "terminated"
+)
 
 // mapPlace is where the fault of a list lies.
 const mapPlace = "transport map"
@@ -47,7 +51,7 @@
 var ErrBroken error = broken.New(mapPlace, "")
 
 var phases = map[string]micafront.Phase{
-	"in_service": micafront.Ready, "terminating": micafront.Draining, Terminated: micafront.Gone}
+	InService: micafront.Ready, "terminating": micafront.Draining, Terminated: micafront.Gone}
 
 // ParseList reads one object and refuses one that makes no sense; its errors are ErrBroken.
 func ParseList(text []byte) (List, error) {
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -57,6 +57,9 @@
 		if known, ok := effects[c.Effect]; ok { // an effect not known here is treated as the strictest
 			class.Effect = known
 		}
+		if _, ok := scopes[c.DedupScope]; !ok && class.Effect == micafront.Keyed {
+			class.Effect = micafront.Unsafe // nor a group of those that recognise repeats
+		}
 		if i < len(e.FamilyInfo.MessageAim) {
 			class.MessageAim = Seconds(e.FamilyInfo.MessageAim[i])
 		}
--- /dev/null
+++ b/resume_fuzz_test.go
@@ -0,0 +1,87 @@
+package micafront
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// busy is a module that has served for a while, so that what it hands on has something of everything.
+func busy(t testing.TB) *Balancer {
+	b := start(t, testSettings(), fleetOf(5), 7)
+	now := 2 * sec
+	for i := range 12 {
+		r := req(i, now)
+		for _, s := range only[Send](b.Handle(now, r)) {
+			switch i % 4 {
+			case 0:
+				b.Handle(now, First{ID: s.ID, Server: s.Server})
+			case 1:
+				b.Handle(now, Outcome{ID: s.ID, Server: s.Server, Status: Reset})
+			}
+		}
+		now += 100 * ms
+	}
+	b.Handle(now, Members{Kind: Changes, Entries: []Member{{Server: serverID(1), Phase: Draining, Size: 1, Zone: "z1"}}})
+	return b
+}
+
+// live has a module do what any has to: nothing that it was handed may break that.
+func live(b *Balancer, now Instant) {
+	late := time.AfterFunc(20*time.Second, func() { panic("it hangs") })
+	defer late.Stop()
+	b.Handle(now, Members{Kind: FullList, Entries: fleetOf(4)})
+	for i := range 8 {
+		now += 300 * ms
+		for _, s := range only[Send](b.Handle(now, req(100+i, now))) {
+			b.Handle(now, First{ID: s.ID, Server: s.Server})
+		}
+		b.Handle(now, Timer{Token: watchToken})
+	}
+	b.State()
+}
+
+// Whatever text another process hands over as its state is refused, or can be gone on with.
+func FuzzResume(f *testing.F) {
+	text, err := json.Marshal(busy(f).State())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	for _, s := range []string{`{}`, `{"Gate":1}`, `{"Gate":1,"Table":{"Owner":[0],"Counts":[1],"Unit":1}}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var s State
+		if json.Unmarshal(text, &s) != nil {
+			return
+		}
+		b, err := New(testSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.Resume(4*sec, s); err == nil {
+			live(b, 4*sec)
+		}
+	})
+}
+
+// The same of a snapshot that was kept.
+func FuzzRestore(f *testing.F) {
+	text, err := json.Marshal(busy(f).Snapshot())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add([]byte(fmt.Sprintf(`{"Version":%d}`, SnapshotVersion)))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var s Snapshot
+		if json.Unmarshal(text, &s) != nil {
+			return
+		}
+		if b, err := Restore(s); err == nil {
+			live(b, max(s.Now, 4*sec))
+		}
+	})
+}
