Send away much of what stands beside a dropped connection, and offer two places at home

Echoes take 0.4 ms everywhere. Lines at fault: fleet.go broke moved nobody; plastic.go homeTries kept a third try at home, in the jammed zone. Change: 0.6 of a node's load on a next hop leaves with a drop where notes tell nothing; two places at home. TestDropSendsOthersAway fails without the change; go test . passes.

--- a/balancer.go
+++ b/balancer.go
@@ -159,22 +159,19 @@
 }
 
 func (b *Balancer) tick(token string) {
-	if token == watchToken {
-		b.watchPending = false
-		b.do(Watch{On: true})
-		return
-	}
-	if token == reportToken {
-		b.askReports()
-		return
-	}
 	if id, ok := strings.CutPrefix(token, leaveToken); ok {
 		if s := b.servers[id]; s != nil {
 			b.leaveTurn(s)
 		}
 		return
 	}
-	if r := b.timers[token]; r != nil {
+	switch r := b.timers[token]; {
+	case token == watchToken:
+		b.watchPending = false
+		b.do(Watch{On: true})
+	case token == reportToken:
+		b.askReports()
+	case r != nil:
 		b.conclude(r)
 	}
 }
--- a/fleet.go
+++ b/fleet.go
@@ -65,8 +65,7 @@
 			b.servers[e.Server] = s
 		}
 		if s.phase != e.Phase {
-			s.phase = e.Phase
-			b.listDirty = true
+			s.phase, b.listDirty = e.Phase, true
 			b.leave(s)
 		}
 		// The Size of a listed server is kept while it owns slots: a figure that moves from list to list
@@ -374,8 +373,7 @@
 }
 
 func (b *Balancer) suspect(p *suspicion) {
-	p.fails++
-	p.trial = false
+	p.fails, p.trial = p.fails+1, false
 	wait := float64(b.set.Limits.ConnectTimeout) * math.Pow(2, float64(min(p.fails, 10)))
 	wait = min(wait, 2*float64(b.set.Rules.Fall)) * (0.5 + b.rng.Float64())
 	p.retryAt = b.now + time.Duration(wait)
@@ -437,10 +435,14 @@
 }
 
 // broke takes the loss of a connection that stood. A server with too much piled up drops connections one by
-// one: that asks for less, not for suspicion, else a whole group would leave and jam the next server.
+// one: that asks for less, not for suspicion, else a whole group would leave and jam the next server. Where
+// it is the only sign of a jam, much of what stands there leaves too: it is served late, and dropped next.
 func (b *Balancer) broke(s *server) {
 	b.askLess(s)
-	s.brokeAt, b.pain = b.now, b.pain+shares.DropPain(b.now, s.delayAt, b.set.Rules.Fall)
+	pain := shares.DropPain(b.now, s.delayAt, b.set.Rules.Fall)
+	if s.brokeAt, b.pain = b.now, b.pain+pain; pain > 0 && s.phase == Ready {
+		b.shed(s, shares.DropRelief*s.weight, leastWorth)
+	}
 }
 
 // askLess halves what is asked of a server that turned work away or dropped it.
@@ -496,9 +498,11 @@
 	} else if b.jammed() > shortFleet {
 		share /= 3
 	}
-	b.shed(s, share*min(max(2*slowness-1, 0), 1)*s.weight, func(x, y *request) int {
-		return cmp.Compare(x.class.Worth*y.weight, y.class.Worth*x.weight)
-	})
+	b.shed(s, share*min(max(2*slowness-1, 0), 1)*s.weight, leastWorth)
+}
+
+func leastWorth(x, y *request) int {
+	return cmp.Compare(x.class.Worth*y.weight, y.class.Worth*x.weight)
 }
 
 // shed moves so much load off a server, in that order.
@@ -550,8 +554,7 @@
 	}
 	b.shed(s, excess, func(x, y *request) int {
 		return cmp.Or(cmp.Compare(b.surplus(y), b.surplus(x)),
-			cmp.Compare(held[x.Group], held[y.Group]), cmp.Compare(x.Group, y.Group),
-			cmp.Compare(x.class.Worth*y.weight, y.class.Worth*x.weight))
+			cmp.Compare(held[x.Group], held[y.Group]), cmp.Compare(x.Group, y.Group), leastWorth(x, y))
 	})
 }
 
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -576,6 +576,39 @@
 	}
 }
 
+// Where next hops tell nothing of delays a dropped connection has some of those that stand beside it leave, those that
+// bring least first; where they do tell, the notes move as many as are too many, and a drop moves none.
+func TestDropSendsOthersAway(t *testing.T) {
+	for _, tells := range []bool{false, true} {
+		b := start(t, testSettings(), fleetOf(4), 1)
+		for i := range 200 {
+			r := req(i, 2*sec)
+			if i%2 == 1 {
+				r.Class = "heavy"
+			}
+			establish(b, 2*sec, r)
+		}
+		s := b.servers[serverID(0)]
+		if tells {
+			b.Handle(3*sec, DelayNote{ID: s.held[0].ID, Server: s.id, Delay: 0})
+		}
+		held, drop := len(s.held), s.held[0]
+		moves := only[Move](b.Handle(3*sec, Outcome{ID: drop.ID, Server: s.id, Status: Reset}))
+		low := 0
+		for _, m := range moves {
+			if b.requests[m.ID].class.Name == "heavy" {
+				low++
+			}
+		}
+		switch {
+		case tells && len(moves) > 0:
+			t.Errorf("%d of %d moved by a drop beside notes", len(moves), held)
+		case !tells && (len(moves) < held/2 || len(moves) > held*7/10 || low < len(moves)*3/4):
+			t.Errorf("%d of %d moved by a drop, %d of them of the class that brings least", len(moves), held, low)
+		}
+	}
+}
+
 // Next hops that say nothing of delays still drop connections when too much is piled up: drops alone close the gate, which
 // opens again when they end. One drop in a while does not close it.
 func TestDropsCloseTheGate(t *testing.T) {
--- a/plastic.go
+++ b/plastic.go
@@ -142,8 +142,9 @@
 	return append(counts, n)
 }
 
-// homeTries is how many places in the node's own zone a key is offered before the whole fleet's.
-const homeTries = 3
+// homeTries is how many places in the node's own zone a key is offered before the whole fleet's. A third one
+// did harm: what a jammed server sheds at home jams the next one there while other zones have room.
+const homeTries = 2
 
 // candidate is the i-th place on a key's chain. Crossing zones costs at every message, so a key walks the
 // history of its node's zone first, which that zone's nodes share, and after that the whole fleet's.
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -58,6 +58,10 @@
 	return 6
 }
 
+// DropRelief is the part of a node's load on a next hop that leaves with a dropped connection. All leave at 1, more than
+// the next ones in line can take, which drop in turn.
+const DropRelief = 0.6
+
 // Press moves a gate after a span in seconds in which so much of a node's connections was in trouble. Each next
 // hop's evidence is thin where many nodes share the traffic, and spilling from one jammed next hop to the next jams all
 // of them when the fleet as a whole is short. So a node pools what its connections suffer: while more than a seventh
