--- a/cmd/micafront/attempts_test.go
+++ b/cmd/micafront/attempts_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"syscall"
@@ -178,33 +177,6 @@
 	return standin.NewPeer(t, c)
 }
 
-// stopped tells whether each of a process's threads is stopped: the first one alone says nothing of the loop's.
-func stopped(pid int) bool {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
-	for _, path := range threads {
-		text, err := os.ReadFile(path)
-		if _, state, ok := strings.Cut(string(text), ") "); err != nil || !ok || !strings.HasPrefix(state, "T") {
-			return false
-		}
-	}
-	return err == nil && len(threads) > 0
-}
-
-// hold stops the process, and the returned function lets it go on: what comes in between meets it in one turn.
-func (w *world) hold() (goOn func()) {
-	w.t.Helper()
-	pid := w.cmd.Process.Pid
-	if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
-		w.t.Fatal(err)
-	}
-	for end := time.Now().Add(standin.Patience); !stopped(pid); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			w.t.Fatal("it does not stop")
-		}
-	}
-	return func() { syscall.Kill(pid, syscall.SIGCONT) }
-}
-
 // late starts the program with one next hop at which connections come up only when it is freed.
 func late(t *testing.T, change ...func(*world)) (w *world, l net.Listener, free func()) {
 	t.Helper()
--- a/cmd/micafront/closing_test.go
+++ b/cmd/micafront/closing_test.go
@@ -14,36 +14,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// inOneTurn stops the program while f runs: all that f causes is there when it goes on.
-func (w *world) inOneTurn(f func()) {
-	w.t.Helper()
-	w.cmd.Process.Signal(syscall.SIGSTOP)
-	defer w.cmd.Process.Signal(syscall.SIGCONT)
-	for end := time.Now().Add(standin.Patience); ; time.Sleep(time.Millisecond) {
-		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.cmd.Process.Pid))
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		if _, rest, _ := strings.Cut(string(stat), ") "); strings.HasPrefix(rest, "T") {
-			break
-		}
-		if time.Now().After(end) {
-			w.t.Fatal("never stopped")
-		}
-	}
-	f()
-}
-
-// read gives all lines up to the end, and how that came.
-func read(p *standin.Peer) (all []string) {
-	for {
-		l := p.Line()
-		if all = append(all, l); strings.HasSuffix(l, "EOF") || l == "RST" {
-			return all
-		}
-	}
-}
-
 // flood writes until nobody takes any more.
 func flood(t *testing.T, p *standin.Peer, chunk string) {
 	t.Helper()
@@ -115,7 +85,7 @@
 	c, s := w.connect(conns, "key")
 	flood(t, c, "y")
 	s.Say("news\r\n")
-	Equal(t, "client", []string{"news", "MOVE", "EOF"}, read(c))
+	Equal(t, "client", []string{"news", "MOVE", "EOF"}, rest(c))
 	w.counts("slow_peers=1")
 	w.counts("open=0")
 }
@@ -133,7 +103,7 @@
 	c.Say("more")
 	c.CloseWrite()
 	Equal(t, "attempt", "EOF", s.Line())
-	Equal(t, "answer", []string{"ERR", "EOF"}, read(c))
+	Equal(t, "answer", []string{"ERR", "EOF"}, rest(c))
 	w.counts("client_gone=1")
 	w.counts("outcome_cancelled=1")
 }
@@ -178,7 +148,7 @@
 			c.Say(opening("key"))
 			w.figures(map[string]string{"svc.pending": "1"})
 			var s *standin.Peer
-			w.inOneTurn(func() {
+			w.frozen(func() {
 				let()
 				s = standin.Await(t, conns)
 				leave(c)
@@ -204,7 +174,7 @@
 		s.Line()
 		clients, at = append(clients, c), append(at, s)
 	}
-	w.inOneTurn(func() {
+	w.frozen(func() {
 		for _, s := range at {
 			s.Say("BUSY\r\n")
 		}
@@ -235,7 +205,7 @@
 			accepted.Say("PING\r\n")
 			Equal(t, "readiness", "PONG", accepted.Line())
 			var queued *standin.Peer
-			w.inOneTurn(func() {
+			w.frozen(func() {
 				queued = w.dial()
 				for _, c := range []*standin.Peer{accepted, queued} {
 					c.Say(opening("key"))
@@ -244,7 +214,7 @@
 			})
 			if name == "end" {
 				for _, c := range []*standin.Peer{accepted, queued} {
-					Equal(t, "answer", []string{"BUSY", "EOF"}, read(c))
+					Equal(t, "answer", []string{"BUSY", "EOF"}, rest(c))
 				}
 			}
 			w.counts("client_gone=2")
@@ -262,7 +232,7 @@
 func TestEvictedHearsSo(t *testing.T) {
 	w, _ := one(t, func(w *world) { w.sockets = 48 }) // fewer strangers than are accepted in a turn
 	var crowd []*standin.Peer
-	w.inOneTurn(func() {
+	w.frozen(func() {
 		for range 20 {
 			p := w.dial()
 			p.Say("OPEN half a li")
@@ -271,7 +241,7 @@
 	})
 	busy := 0
 	for _, p := range crowd {
-		switch got := strings.Join(read(p), " "); {
+		switch got := strings.Join(rest(p), " "); {
 		case strings.HasPrefix(got, "BUSY ") && strings.HasSuffix(got, " EOF"):
 			busy++
 		case got != "ERR SYNTAX EOF":
@@ -294,7 +264,7 @@
 		p.Line()
 		crowd = append(crowd, p)
 	}
-	w.inOneTurn(func() {
+	w.frozen(func() {
 		w.dial()
 		crowd[0].Say(opening("key"))
 	})
@@ -312,7 +282,7 @@
 	c := w.dial()
 	c.Say("PING\r\n")
 	Equal(t, "readiness", "PONG", c.Line())
-	w.inOneTurn(func() {
+	w.frozen(func() {
 		time.Sleep(3 * time.Second) // its time passes, and that is the first thing the proxy sees
 		c.Say(opening("key"))
 	})
@@ -327,8 +297,8 @@
 	w, _ := one(t)
 	silent, ready := w.dial(), w.dial()
 	ready.Say("PING\r\n")
-	Equal(t, "who said nothing", []string{"BUSY", "EOF"}, read(silent))
-	Equal(t, "who checked readiness", []string{"PONG", "EOF"}, read(ready))
+	Equal(t, "who said nothing", []string{"BUSY", "EOF"}, rest(silent))
+	Equal(t, "who checked readiness", []string{"PONG", "EOF"}, rest(ready))
 }
 
 // A move closes a connection on which the next hop is just speaking: it hears an end, and no reset, which would take
@@ -339,12 +309,12 @@
 	if status, _ := w.call("PUT", "/api/evacuate"); status != 200 {
 		t.Errorf("status %d", status)
 	}
-	w.inOneTurn(func() {
+	w.frozen(func() {
 		time.Sleep(time.Second) // the move becomes due, and that is the first thing the proxy sees
 		s.Say("half a li")
 		c.Say("half ")
 	})
-	Equal(t, "client", []string{"MOVE", "EOF"}, read(c))
+	Equal(t, "client", []string{"MOVE", "EOF"}, rest(c))
 	Equal(t, "next hop", "EOF", s.Line())
 }
 
@@ -369,12 +339,12 @@
 				s := standin.Await(t, conns)
 				s.Line()
 				if together {
-					w.inOneTurn(func() { s.Say(c.say); s.Close() })
+					w.frozen(func() { s.Say(c.say); s.Close() })
 				} else {
 					trickle(t, s, c.say)
 					s.Close()
 				}
-				Equal(t, "client", c.want, read(p))
+				Equal(t, "client", c.want, rest(p))
 				w.counts("served=1")
 			})
 		}
@@ -394,7 +364,7 @@
 					standin.Await(t, w.Watches)
 					before := w.descriptors()
 					c, s := w.connect(conns, "key")
-					w.inOneTurn(func() {
+					w.frozen(func() {
 						if first {
 							client(c)
 						}
--- a/cmd/micafront/helpers_test.go
+++ b/cmd/micafront/helpers_test.go
@@ -206,3 +206,49 @@
 	}
 	return client, server
 }
+
+// hold stops the process, and the returned function lets it go on: what comes in between meets it in one turn.
+func (w *world) hold() (goOn func()) {
+	w.t.Helper()
+	pid := w.cmd.Process.Pid
+	if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
+		w.t.Fatal(err)
+	}
+	for end := time.Now().Add(standin.Patience); !stopped(pid); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatal("it does not stop")
+		}
+	}
+	return func() { syscall.Kill(pid, syscall.SIGCONT) }
+}
+
+// stopped tells whether each of a process's threads is stopped: the first one alone says nothing of the loop's.
+func stopped(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, path := range threads {
+		text, err := os.ReadFile(path)
+		if _, state, ok := strings.Cut(string(text), ") "); err != nil || !ok || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return err == nil && len(threads) > 0
+}
+
+// frozen has what happens meanwhile meet the program in one turn.
+func (w *world) frozen(meanwhile func()) {
+	w.t.Helper()
+	goOn := w.hold()
+	defer goOn()
+	meanwhile()
+}
+
+// rest is all that a peer reads to the end of its connection.
+func rest(p *standin.Peer) (all []string) {
+	for {
+		l := p.Line()
+		if all = append(all, l); strings.HasSuffix(l, "EOF") || strings.HasSuffix(l, "RST") {
+			p.Close()
+			return all
+		}
+	}
+}
--- a/cmd/micafront/shutdown_test.go
+++ b/cmd/micafront/shutdown_test.go
@@ -52,28 +52,6 @@
 	}
 }
 
-// frozen has what happens meanwhile meet the process in one turn.
-func (w *world) frozen(meanwhile func()) {
-	w.t.Helper()
-	pid := w.cmd.Process.Pid
-	if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
-		w.t.Fatal(err)
-	}
-	for end := time.Now().Add(standin.Patience); ; time.Sleep(time.Millisecond) {
-		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-		if err != nil || time.Now().After(end) {
-			w.t.Fatalf("not stopped: %v", err)
-		}
-		if _, state, _ := strings.Cut(string(stat), ") "); strings.HasPrefix(state, "T") {
-			break
-		}
-	}
-	meanwhile()
-	if err := syscall.Kill(pid, syscall.SIGCONT); err != nil {
-		w.t.Fatal(err)
-	}
-}
-
 // asked opens a request that a next hop has read and does not answer.
 func (w *world) asked(conns chan *standin.Peer, key string) (client, server *standin.Peer) {
 	w.t.Helper()
@@ -84,17 +62,6 @@
 	return client, server
 }
 
-// rest is all that a peer reads to the end of its connection.
-func rest(p *standin.Peer) (all []string) {
-	for {
-		l := p.Line()
-		if all = append(all, l); strings.HasSuffix(l, "EOF") || strings.HasSuffix(l, "RST") {
-			p.Close()
-			return all
-		}
-	}
-}
-
 // Next hops that hang do not take their requests along: each gets its one final answer, by whether it may have run, before
 // the kill, which comes earlier where deadlines are shorter.
 func TestStopWhileNextHopsHang(t *testing.T) {
