Use the late next hop that the tests have in the stop's test of a dial too

shutdown_test.go built a listener with a full queue by hand; lateHop does that, and late starts the program with it. The assertions are as they were; the stop tests that dial, hang, resume or come late pass three times.

--- a/cmd/micafront/shutdown_test.go
+++ b/cmd/micafront/shutdown_test.go
@@ -93,34 +93,9 @@
 	}
 }
 
-// mute is an address at which connections never come up: the queue of its listener is full.
-func mute(t *testing.T) string {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err == nil {
-		t.Cleanup(func() { syscall.Close(fd) })
-		if err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err == nil {
-			err = syscall.Listen(fd, 0)
-		}
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	sa, _ := syscall.Getsockname(fd)
-	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
-	for range 8 {
-		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
-		if err != nil {
-			return addr
-		}
-		t.Cleanup(func() { c.Close() })
-	}
-	t.Fatal("the queue never fills")
-	return ""
-}
-
 // A stop while an attempt dials: nothing has gone out, so a repeat is harmless.
 func TestStopWhileDialling(t *testing.T) {
-	w := start(t, standin.List(1, true, entry("s-1", mute(t), "in_service")))
+	w, _, _ := late(t)
 	w.deadline(1)
 	c := w.dial()
 	c.Say(opening("key"))
