--- /dev/null
+++ b/cmd/micafront/large_list_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"example.org/micafront/internal/fakes"
+)
+
+// Sizes of endpoint lists: the largest that operators run, and how many parts a release replaces it in.
+const (
+	largeListEndpoints = 3200
+	releaseParts       = 12
+)
+
+// answeringEndpoint accepts every connection, answers its request at once and records when which request came.
+type answeringEndpoint struct {
+	addr string
+
+	mu       sync.Mutex
+	attempts map[string]time.Time // by the request's id
+}
+
+// newAnsweringEndpoint starts an endpoint that stops with the test.
+func newAnsweringEndpoint(t *testing.T) *answeringEndpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	e := &answeringEndpoint{addr: listener.Addr().String(), attempts: map[string]time.Time{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn)
+		}
+	}()
+	return e
+}
+
+func (e *answeringEndpoint) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.attempts[strings.Fields(line)[1]] = time.Now()
+	e.mu.Unlock()
+	_, _ = conn.Write([]byte("UP r\r\n"))
+	_, _ = reader.ReadString('\n') // until the client leaves
+}
+
+// attemptOf returns when a request came; false where it did not.
+func (e *answeringEndpoint) attemptOf(id string) (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at, attempted := e.attempts[id]
+	return at, attempted
+}
+
+// attemptCount returns how many requests have come.
+func (e *answeringEndpoint) attemptCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.attempts)
+}
+
+// entries are count entries of an endpoint list, numbered from first, that all lead to this endpoint, in three zones.
+func (e *answeringEndpoint) entries(first, count int, lifecycle string) []string {
+	entries := make([]string, 0, count)
+	for i := first; i < first+count; i++ {
+		entries = append(entries, fakes.Entry{
+			ID:        fmt.Sprintf("s-%05d", i),
+			Addr:      e.addr,
+			Zone:      string(rune('a' + i%3)),
+			Lifecycle: lifecycle,
+		}.String())
+	}
+	return entries
+}
+
+// requestTiming is one request of a steady client: how long it took to the answer.
+type requestTiming struct {
+	id     string
+	sentAt time.Time
+	answer string
+	wait   time.Duration
+}
+
+// sendSteadily sends a request every interval, each on a connection of its own, until stop is closed. It returns the
+// timings of all of them.
+func sendSteadily(t *testing.T, addr string, interval, patience time.Duration, stop <-chan struct{}) []requestTiming {
+	var mu sync.Mutex
+	var timings []requestTiming
+	var clients sync.WaitGroup
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			clients.Wait()
+			return timings
+		case <-ticker.C:
+		}
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			timing := sendRequest(t, addr, patience)
+			mu.Lock()
+			timings = append(timings, timing)
+			mu.Unlock()
+		}()
+	}
+}
+
+// sendRequest sends one request that its client waits for no longer than patience, and reads the answer, also a late one.
+func sendRequest(t *testing.T, addr string, patience time.Duration) requestTiming {
+	id := fakes.NextID()
+	timing := requestTiming{id: id, sentAt: time.Now(), answer: "none"}
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Errorf("request %s: %v", id, err)
+		return timing
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(fakes.WaitTimeout))
+	_, _ = fmt.Fprintf(conn, "OPEN %s key%s c=feed,d=%d\r\n", id, id, patience.Milliseconds())
+	if line, err := bufio.NewReader(conn).ReadString('\n'); err == nil {
+		timing.answer = strings.TrimSpace(line)
+	}
+	timing.wait = time.Since(timing.sentAt)
+	return timing
+}
+
+// lateAnswer is how long after a request's time its answer may come; later it is lost.
+const lateAnswer = 500 * time.Millisecond
+
+// TestLargeListLosesNoRequest replaces a list of 3,200 endpoints in parts while clients with little time come steadily: each
+// gets its answer in time, and no attempt begins once a request's time is over.
+func TestLargeListLosesNoRequest(t *testing.T) {
+	const patience = 100 * time.Millisecond
+	endpoint := newAnsweringEndpoint(t)
+	entries := endpoint.entries(0, largeListEndpoints, "in_service")
+	proxy := startProxy(t, fakes.List(1, true, entries...))
+	stop := make(chan struct{})
+	results := make(chan []requestTiming)
+	go func() { results <- sendSteadily(t, proxy.addr, 20*time.Millisecond, patience, stop) }()
+
+	fakes.Await(t, proxy.discovery.Watches)
+	const part = largeListEndpoints / releaseParts
+	generation := 1
+	send := func(entries []string) {
+		generation++
+		proxy.discovery.Lists <- fakes.List(generation, false, entries...)
+		time.Sleep(350 * time.Millisecond)
+	}
+	for i := range 4 {
+		send(endpoint.entries(i*part, part, "terminating"))
+		send(endpoint.entries(i*part, part, "terminated"))
+		send(endpoint.entries(largeListEndpoints+i*part, part, "in_service"))
+	}
+	time.Sleep(time.Second)
+	close(stop)
+
+	longest := time.Duration(0)
+	for _, timing := range <-results {
+		longest = max(longest, timing.wait)
+		if timing.wait > patience+lateAnswer {
+			t.Errorf("request %s waited %v for %q", timing.id, timing.wait, timing.answer)
+		}
+		if at, attempted := endpoint.attemptOf(timing.id); attempted && at.Sub(timing.sentAt) > patience+lateAnswer {
+			t.Errorf("request %s was attempted %v after it was sent", timing.id, at.Sub(timing.sentAt))
+		}
+	}
+	t.Logf("longest wait for an answer: %v", longest)
+}
+
+// TestHeldUpProcessAttemptsNothingThatIsOver checks that requests whose time passes while the process stands still are
+// rejected, and that one which still has time is attempted.
+func TestHeldUpProcessAttemptsNothingThatIsOver(t *testing.T) {
+	t.Parallel()
+	endpoint := newAnsweringEndpoint(t)
+	proxy := startProxy(t, fakes.List(1, true, endpoint.entries(0, 3, "in_service")...))
+	accepted := proxy.dial() // its request comes on a connection that the process has accepted
+	idle := proxy.dial()     // and this one's in two parts
+	idle.Send("OPEN half key c=feed,")
+	time.Sleep(50 * time.Millisecond)
+	waiting := make(chan requestTiming, 1)
+	proxy.whileSuspended(func() {
+		accepted.Send("OPEN accepted key c=feed,d=300\r\n")
+		idle.Send("d=300\r\n")
+		time.Sleep(400 * time.Millisecond)
+		go func() { waiting <- sendRequest(t, proxy.addr, 5*time.Second) }()
+		time.Sleep(200 * time.Millisecond)
+	})
+	for name, client := range map[string]*fakes.Peer{"accepted": accepted, "half": idle} {
+		if got := client.ReadLine(); !strings.HasPrefix(got, "BUSY") {
+			t.Errorf("the request %q, whose time was over, was answered %q", name, got)
+		}
+		if _, attempted := endpoint.attemptOf(name); attempted {
+			t.Errorf("the request %q was attempted after its time", name)
+		}
+	}
+	if timing := <-waiting; timing.answer != "UP r" {
+		t.Errorf("the request that had time left was answered %q", timing.answer)
+	}
+}
+
+// TestHeldUpProcessAttemptsNothingForGoneClients checks that clients that leave while the process stands still are not
+// attempted for, whether their request is new or waits for a connection to its endpoint.
+func TestHeldUpProcessAttemptsNothingForGoneClients(t *testing.T) {
+	t.Parallel()
+	endpoint := newAnsweringEndpoint(t)
+	proxy := startProxy(t, fakes.List(1, true, endpoint.entries(0, 3, "in_service")...))
+	proxy.whileSuspended(func() {
+		for range 20 {
+			client := proxy.dial()
+			client.Send(openLine("key"))
+			_ = client.Close()
+		}
+		time.Sleep(150 * time.Millisecond)
+	})
+	if timing := sendRequest(t, proxy.addr, 5*time.Second); timing.answer != "UP r" {
+		t.Errorf("a client that stayed got %q", timing.answer)
+	}
+	if count := endpoint.attemptCount(); count != 1 {
+		t.Errorf("%d attempts, of which %d for clients that had gone", count, count-1)
+	}
+}
