Count a request's time from when it came, and order what a hold-up has piled up

Callers saw requests attempted after their time, and no answer until the attempt's end, at processes that had been held up.

Cause: a request's deadline was counted from when the loop read it (admission.go), so a hold-up of 1.7 s put it off by 1.7 s.

A test is replaced: TestStaleCloseOfTimedOutAttempt asked for outcome_timeout=1 where the close of the endpoint had come while the process stood still. The close is now read before the attempt is given up, so the attempt ends as reset; the same scenario asks for outcome_reset=1 and no timeout (TestCloseOfAttemptThatTimesOutWhileHeldUp). Its other purpose, a stale close on a reused descriptor, is tested where the order still allows it (TestStaleCloseOfCanceledAttempt).

--- a/internal/evloop/listener.go
+++ b/internal/evloop/listener.go
@@ -31,6 +31,7 @@
 	onError  func(error)
 
 	acceptScheduled bool // a later turn accepts
+	queueHasMore    bool // that turn comes at once, since more connections may wait
 	paused          bool // another process accepts from the same queue
 }
 
@@ -122,8 +123,16 @@
 // scheduleAccept accepts in a later turn, once the delay has passed.
 func (listener *Listener) scheduleAccept(delay time.Duration) {
 	listener.acceptScheduled = true
+	if delay == 0 && !listener.queueHasMore {
+		listener.queueHasMore = true
+		listener.loop.acceptsScheduled++
+	}
 	listener.loop.After(delay, func() {
 		listener.acceptScheduled = false
+		if listener.queueHasMore {
+			listener.queueHasMore = false
+			listener.loop.acceptsScheduled--
+		}
 		if listener.listening() {
 			listener.acceptTurn()
 		}
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -35,6 +35,9 @@
 	startUnix time.Duration // Unix time at startedAt
 	now       time.Duration // of this turn
 
+	holdUp           holdUp
+	acceptsScheduled int // listeners whose queue may hold more and which accept in a later turn
+
 	readBuffer      []byte
 	readBufferInUse bool
 }
@@ -65,7 +68,11 @@
 // updateClock reads the clock for a turn. The wall clock is read only once, at the start: the balancers' epochs are shared
 // with other proxies and must not jump when a clock is set.
 func (l *Loop) updateClock() {
-	l.now = l.startUnix + time.Since(l.startedAt).Truncate(time.Microsecond)
+	l.now = l.clock()
+}
+
+func (l *Loop) clock() time.Duration {
+	return l.startUnix + time.Since(l.startedAt).Truncate(time.Microsecond)
 }
 
 // Now is the time of this turn: Unix time at the start plus monotonic time, in whole microseconds.
@@ -92,8 +99,9 @@
 // that the loop could not be woken up, which does not happen: the descriptor for that is the loop's own, and stays open.
 func (l *Loop) Post(f func()) error {
 	return l.poller.Trigger(queue.HighPriority, func(any) error {
-		l.updateClock()
+		l.beginTurn()
 		f()
+		l.endTurn()
 		return nil
 	}, nil)
 }
@@ -101,7 +109,7 @@
 // handleEvent is one turn: it hands a descriptor's event to whoever owns the descriptor. An event of a descriptor that was
 // closed earlier in the same batch has no owner.
 func (l *Loop) handleEvent(fd int, event netpoll.IOEvent, _ netpoll.IOFlags) error {
-	l.updateClock()
+	l.beginTurn()
 	if conn := l.conns[fd]; conn != nil {
 		conn.handleEvent(event)
 	} else if listener := l.listeners[fd]; listener != nil {
@@ -109,5 +117,19 @@
 	} else if fd == l.timerFD {
 		l.runTimers()
 	}
+	l.endTurn()
 	return nil
 }
+
+// beginTurn reads the clock for a turn.
+func (l *Loop) beginTurn() {
+	l.updateClock()
+	l.detectLateTimer()
+}
+
+// endTurn notes a turn that has held up the others.
+func (l *Loop) endTurn() {
+	if length := l.clock() - l.now; length > holdUpThreshold {
+		l.noteHoldUp(l.now)
+	}
+}
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -37,8 +37,9 @@
 	if !s.assignRoute() {
 		return
 	}
-	now := p.loop.Now()
-	s.deadline = p.drainer.boundDeadline(s.policyState.Deadline(now, now+request.Wait))
+	// Its time runs from when it came, however long it has waited to be read.
+	receivedAt := s.downstream.ReceivedAt()
+	s.deadline = p.drainer.boundDeadline(s.policyState.Deadline(receivedAt, receivedAt+request.Wait))
 	if request.Resumed {
 		p.counters.Resumed++
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -69,6 +69,27 @@
 		return
 	}
 	s.attempt = a
+	if !p.loop.HeldUp() {
+		a.dial()
+		return
+	}
+	p.loop.OnceCaughtUp(a.dialAfterHoldUp)
+}
+
+// dialAfterHoldUp connects to the endpoint once the ends of clients and the deadlines that came while the loop was held up have
+// been handled, unless they have made the attempt pointless.
+func (a *attempt) dialAfterHoldUp() {
+	s := a.session
+	if s.downstream != nil {
+		s.downstream.CheckPeer()
+	}
+	if a.stage == stageEnded {
+		return
+	}
+	if a.deadline <= s.proxy.loop.Now() || !a.mayWrite() {
+		a.end(balancer.NotSent)
+		return
+	}
 	a.dial()
 }
 
@@ -110,7 +131,17 @@
 		timeout = end - now
 		status = balancer.NotSent
 	}
-	a.timer = p.loop.After(timeout, func() { a.end(status) })
+	a.timer = p.loop.After(timeout, func() { a.onDialTimeout(status) })
+}
+
+// onDialTimeout ends an attempt whose connection has not come up in time. After a hold-up it may have, or may have been refused:
+// the loop looks first.
+func (a *attempt) onDialTimeout(status balancer.Status) {
+	a.session.proxy.loop.OnceCaughtUp(func() {
+		if a.stage == stageDialing {
+			a.end(status)
+		}
+	})
 }
 
 // dialStatus tells an endpoint that refuses connections from a failure of this host.
@@ -187,7 +218,15 @@
 	}
 }
 
-func (a *attempt) onTimeout() { a.endUnanswered(balancer.Timeout) }
+// onTimeout ends an attempt that got no answer in time. After a hold-up the answer may wait to be read: the endpoint is not to
+// blame then.
+func (a *attempt) onTimeout() {
+	a.session.proxy.loop.OnceCaughtUp(func() {
+		if a.stage == stageWriting || a.stage == stageSent {
+			a.endUnanswered(balancer.Timeout)
+		}
+	})
+}
 
 // Drained is part of evloop.Handler.
 func (a *attempt) Drained() { a.checkWritten() }
--- a/internal/proxy/latency.go
+++ b/internal/proxy/latency.go
@@ -60,8 +60,12 @@
 
 // sweep checks all established connections, every sweepInterval.
 func (p *Proxy) sweep() {
-	now := p.loop.Now()
 	p.loop.After(sweepInterval, p.sweep)
+	p.loop.OnceCaughtUp(p.checkConnections) // answers that wait to be read are no sign of an unresponsive endpoint
+}
+
+func (p *Proxy) checkConnections() {
+	now := p.loop.Now()
 	for _, s := range slices.Clone(p.sessions.established) {
 		if s.downstreamState() == stateRelaying { // else it was closed with one before it
 			s.checkEstablished(now)
