Measure the event loop's turns, and count why requests are ended, retried and refused

Operators saw requests without an answer and nothing in logs or telemetry that named the cause: no figure told how long a turn of the loop took, what it was for, or why a request had been refused.

Added to telemetry (GET /api/telemetry, behind all existing lines) and to the line of counters on SIGUSR1 and at the end: svc.loop.turns, long_turns (5 ms or more), longest_turn_us and what it was for, hold_ups and held_up_ms; svc.requests.rejected/failed/retried/ended.REASON. A balancer's final answers carry a typed reason. Logged: each endpoint list with generation and size, a long turn with cause and length (once a second at most), a hold-up when it has been caught up with, and at debug level each rejected, failed, retried or ended request with its reason and the time it had left. A turn of the timers runs 64 of them at most. Existing names and their order are unchanged (golden fixtures).

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -16,10 +16,26 @@
 type Reject struct {
 	ID         string
 	RetryAfter time.Duration // 0: no advice
+	Reason     AnswerReason
 }
 
 // Fail is a final answer: the request may have been executed.
-type Fail struct{ ID string }
+type Fail struct {
+	ID     string
+	Reason AnswerReason
+}
+
+// AnswerReason is why a Balancer gives a request its final answer itself. Its text is for operators.
+type AnswerReason string
+
+// Reasons of a Reject or Fail.
+const (
+	NoTimeLeft       AnswerReason = "no_time"     // it came with too little time, or too late, for an attempt
+	DeadlinePassed   AnswerReason = "deadline"    // no attempt has succeeded by its deadline
+	NoAttemptsLeft   AnswerReason = "no_attempts" // it has had as many attempts as it may
+	NotAdmitted      AnswerReason = "not_admitted"
+	NoUsableEndpoint AnswerReason = "no_endpoint" // none is ready, fit for a repeat and within its slow start
+)
 
 // Cancel gives up an attempt.
 type Cancel struct {
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -15,7 +15,7 @@
 	// The timer is early enough that the answer is out before the client leaves.
 	remaining := req.Deadline - b.settings.Rules.AnswerSlack/2 - b.now
 	if remaining <= 0 {
-		b.rejectOrFail(req)
+		b.rejectOrFail(req, NoTimeLeft)
 		return
 	}
 	b.nextTimerID++
@@ -43,13 +43,21 @@
 // sendNextAttempt sends the next attempt, or answers where there is none.
 func (b *Balancer) sendNextAttempt(req *request) {
 	remaining := req.Deadline - b.now
-	if req.attempts < b.maxAttempts(req) && remaining > b.settings.Rules.AnswerSlack {
-		if endpoint := b.selectEndpoint(req); endpoint != nil {
+	switch {
+	case req.attempts >= b.maxAttempts(req):
+		b.rejectOrFail(req, NoAttemptsLeft)
+	case remaining <= b.settings.Rules.AnswerSlack:
+		b.rejectOrFail(req, NoTimeLeft)
+	default:
+		endpoint := b.selectEndpoint(req)
+		if endpoint != nil {
 			b.startAttempt(req, endpoint, remaining)
-			return
+		} else if req.admissionDenied {
+			b.rejectOrFail(req, NotAdmitted)
+		} else {
+			b.rejectOrFail(req, NoUsableEndpoint)
 		}
 	}
-	b.rejectOrFail(req)
 }
 
 // maxAttempts is how many attempts a request may have: the limit, or less where it carries one of its own.
@@ -142,19 +150,19 @@
 }
 
 // rejectOrFail gives the final answer: a rejection where a retry is known to be safe, else a failure.
-func (b *Balancer) rejectOrFail(req *request) {
+func (b *Balancer) rejectOrFail(req *request, reason AnswerReason) {
 	if req.answered {
 		return
 	}
 	if b.mayReject(req) {
-		rejection := Reject{ID: req.ID}
+		rejection := Reject{ID: req.ID, Reason: reason}
 		if b.settings.Limits.RetryAfter {
 			jitter := 0.5 + b.random.Float64()/2
 			rejection.RetryAfter = time.Duration(float64(b.settings.Limits.MaxRetryAfter) * jitter)
 		}
 		b.emit(rejection)
 	} else {
-		b.emit(Fail{ID: req.ID})
+		b.emit(Fail{ID: req.ID, Reason: reason})
 	}
 	b.cancelAttempt(req)
 	b.markAnswered(req)
--- a/balancer/handle.go
+++ b/balancer/handle.go
@@ -61,6 +61,6 @@
 	case token == loadReportTimer:
 		b.scheduleLoadReports()
 	case req != nil:
-		b.rejectOrFail(req)
+		b.rejectOrFail(req, DeadlinePassed)
 	}
 }
--- a/internal/evloop/holdup.go
+++ b/internal/evloop/holdup.go
@@ -91,6 +91,9 @@
 		l.scheduleCatchUp()
 		return
 	}
+	if h.since != 0 && l.observer != nil {
+		l.observer.CaughtUp(l.now - h.since)
+	}
 	h.since = 0
 	calls := h.deferred[:min(len(h.deferred), deferredCallsPerTurn)]
 	h.deferred = h.deferred[len(calls):]
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -35,6 +35,10 @@
 	startUnix time.Duration // Unix time at startedAt
 	now       time.Duration // of this turn
 
+	observer  Observer // nil: none
+	turnCause Cause
+	turnNamed bool // by NameTurn
+
 	holdUp           holdUp
 	acceptsScheduled int // listeners whose queue may hold more and which accept in a later turn
 
@@ -99,7 +103,7 @@
 // that the loop could not be woken up, which does not happen: the descriptor for that is the loop's own, and stays open.
 func (l *Loop) Post(f func()) error {
 	return l.poller.Trigger(queue.HighPriority, func(any) error {
-		l.beginTurn()
+		l.beginTurn(CausePosted)
 		f()
 		l.endTurn()
 		return nil
@@ -109,27 +113,18 @@
 // handleEvent is one turn: it hands a descriptor's event to whoever owns the descriptor. An event of a descriptor that was
 // closed earlier in the same batch has no owner.
 func (l *Loop) handleEvent(fd int, event netpoll.IOEvent, _ netpoll.IOFlags) error {
-	l.beginTurn()
 	if conn := l.conns[fd]; conn != nil {
+		l.beginTurn(CauseConnection)
 		conn.handleEvent(event)
 	} else if listener := l.listeners[fd]; listener != nil {
+		l.beginTurn(CauseAccept)
 		listener.acceptTurn()
 	} else if fd == l.timerFD {
+		l.beginTurn(CauseTimers)
 		l.runTimers()
+	} else {
+		return nil
 	}
 	l.endTurn()
 	return nil
 }
-
-// beginTurn reads the clock for a turn.
-func (l *Loop) beginTurn() {
-	l.updateClock()
-	l.detectLateTimer()
-}
-
-// endTurn notes a turn that has held up the others.
-func (l *Loop) endTurn() {
-	if length := l.clock() - l.now; length > holdUpThreshold {
-		l.noteHoldUp(l.now)
-	}
-}
--- a/internal/evloop/timer.go
+++ b/internal/evloop/timer.go
@@ -84,13 +84,19 @@
 	_ = unix.TimerfdSettime(l.timerFD, 0, &spec, nil) // cannot fail: descriptor and time are valid
 }
 
-// runTimers runs those that are due. Timers set meanwhile wait for a later turn.
+// maxTimersPerTurn bounds how many timers one turn runs: after a hold-up many are due.
+const maxTimersPerTurn = 64
+
+// runTimers runs those that are due, up to a bound. Timers set meanwhile wait for a later turn.
 func (l *Loop) runTimers() {
 	var expirations [8]byte
 	_, _ = unix.Read(l.timerFD, expirations[:])
 	l.timerFDAt = 0
 	lastSeq := l.timers.lastSeq
-	for len(l.timers.timers) > 0 {
+	for range maxTimersPerTurn {
+		if len(l.timers.timers) == 0 {
+			break
+		}
 		first := l.timers.timers[0]
 		if first.deadline > l.now || first.seq > lastSeq {
 			break
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/metrics"
 )
 
 // This file has a client's connection up to its parsed request, and the events of its socket.
@@ -142,6 +143,7 @@
 func (s *session) rejectUnexpectedData() {
 	s.proxy.counters.UnexpectedData++
 	s.countOutcome(failed)
+	s.recordReason(metrics.RequestFailed, reasonUnexpectedData)
 	s.respond(s.proxy.protocol.MalformedMessage())
 	s.abandon()
 	s.cancelDial()
--- a/internal/proxy/accounting.go
+++ b/internal/proxy/accounting.go
@@ -12,6 +12,7 @@
 func (a *attempt) recordOutcome(status balancer.Status) {
 	s := a.session
 	p := s.proxy
+	s.lastStatus = status
 	p.countAttempt(status)
 	latency := p.loop.Now() - a.startedAt
 	if entry := p.log.Check(zap.DebugLevel, "attempt ended"); entry != nil {
--- a/internal/proxy/admin_api.go
+++ b/internal/proxy/admin_api.go
@@ -9,6 +9,7 @@
 
 // Telemetry returns all metrics, a name=value line each.
 func (p *Proxy) Telemetry() []byte {
+	p.loop.NameTurn(turnTelemetry)
 	out := p.counters.AppendMetrics(nil, metrics.Gauges{
 		Pending:              len(p.sessions.byID),
 		Endpoints:            len(p.endpoints),
@@ -18,7 +19,8 @@
 	if p.fleet != nil {
 		out = p.fleet.appendMetrics(out)
 	}
-	return out
+	out = p.turns.figures.AppendMetrics(out)
+	return p.reasons.AppendMetrics(out)
 }
 
 // Evacuate migrates clients away; those that come all the same are served. It may be called again.
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"example.org/micafront/balancer"
+	"example.org/micafront/internal/metrics"
 )
 
 // This file admits requests and gives final answers. From admit on a request is owed one, which its pool's balancer
@@ -20,15 +21,15 @@
 	s.retries.class = &class
 	if p.atRequestLimit() {
 		p.counters.ResourceExhausted++
-		s.reject(p.overloadDelay())
+		s.reject(p.overloadDelay(), reasonLimit)
 		return
 	}
 	if after, ok := s.authorizePlacement(false); !ok {
-		s.reject(after)
+		s.reject(after, reasonPlacement)
 		return
 	}
 	if p.drainer.tooLate(p.loop.Now()) { // the answer could not come before this process exits
-		s.reject(0)
+		s.reject(0, reasonStopping)
 		return
 	}
 	if !request.HasWait {
@@ -86,22 +87,24 @@
 
 // reject answers that the client may retry after some time, which promises that a retry is harmless; where it may not
 // be, the request fails. All rejections of requests that have been registered pass here.
-func (s *session) reject(retryAfter time.Duration) {
+func (s *session) reject(retryAfter time.Duration, reason metrics.Reason) {
 	if !s.mayReject() {
-		s.fail()
+		s.fail(reason)
 		return
 	}
 	if !s.answered {
 		s.proxy.counters.Rejected++
+		s.recordReason(metrics.RequestRejected, reason)
 		s.countOutcome(rejected)
 		s.respond(s.proxy.protocol.RejectMessage(retryAfter))
 	}
 }
 
 // fail answers without any promise.
-func (s *session) fail() {
+func (s *session) fail(reason metrics.Reason) {
 	if !s.answered {
 		s.proxy.counters.Failed++
+		s.recordReason(metrics.RequestFailed, reason)
 		s.countOutcome(failed)
 		s.respond(s.proxy.protocol.FailureMessage())
 	}
@@ -123,6 +126,7 @@
 		return
 	}
 	s.proxy.counters.ClientDisconnected++
+	s.recordReason(metrics.RequestEnded, reasonClientGone)
 	if s.attemptCount == 0 {
 		s.respond(s.proxy.protocol.RejectMessage(0))
 	} else {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -5,6 +5,7 @@
 
 	"example.org/micafront/balancer"
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/metrics"
 )
 
 // stage is how far an attempt has come. It only goes forward, and what an event means follows from it alone.
@@ -47,6 +48,9 @@
 		startedAt: now,
 		deadline:  s.deadline,
 	}
+	if s.attemptCount > 0 {
+		s.recordReason(metrics.RequestRetried, statusReason(s.lastStatus))
+	}
 	s.attemptCount++
 	s.policyState.AttemptSent()
 	if a.endpoint == nil {
@@ -64,7 +68,7 @@
 	}
 	if after, ok := s.authorizePlacement(false); !ok {
 		a.stage = stageEnded
-		s.reject(after)
+		s.reject(after, reasonPlacement)
 		a.recordOutcome(balancer.NotSent)
 		return
 	}
@@ -176,7 +180,7 @@
 		return
 	}
 	if after, ok := s.authorizePlacement(true); !ok {
-		s.reject(after)
+		s.reject(after, reasonPlacement)
 		a.end(balancer.NotSent)
 		return
 	}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"example.org/micafront/balancer"
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/metrics"
 )
 
 // actionExecutor executes the actions of a pool's balancer.
@@ -62,11 +63,11 @@
 		}
 	case balancer.Reject:
 		if s := p.sessions.byID[action.ID]; s != nil {
-			s.onPoolRejected(pool, action.RetryAfter)
+			s.onPoolRejected(pool, action.RetryAfter, metrics.Reason(action.Reason))
 		}
 	case balancer.Fail:
 		if s := p.sessions.byID[action.ID]; s != nil {
-			s.fail()
+			s.fail(metrics.Reason(action.Reason))
 		}
 	case balancer.Cancel:
 		if s := p.sessions.byID[action.ID]; s != nil && s.attempt != nil && s.attempt.mayCancel(action.Attempt) {
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -37,6 +37,9 @@
 
 // onList applies a new endpoint list, or changes of it.
 func (p *Proxy) onList(list discovery.List, kind balancer.ListKind) {
+	p.loop.NameTurn(turnEndpointList)
+	p.log.Info("endpoint list", zap.Int64("generation", list.Generation), zap.Bool("whole", kind != balancer.DeltaList),
+		zap.Int("entries", len(list.Instances)))
 	p.updateEndpoints(list, kind)
 	p.pools.applyList(&list, kind)
 }
--- a/internal/proxy/golden_test.go
+++ b/internal/proxy/golden_test.go
@@ -223,7 +223,12 @@
 			p.pools.usageOfRoute("first").Usage = routing.Usage{Open: 309, Waiting: 310}
 			p.pools.retired = append(p.pools.retired, &endpointPool{name: "retired", usage: routing.Usage{Open: 311}})
 		}
-		compareGolden(t, c.fixture, p.Telemetry())
+		before, loopFigures, found := bytes.Cut(p.Telemetry(), []byte("svc.loop."))
+		compareGolden(t, c.fixture, before)
+		if want := "turns=0\nsvc.loop.long_turns=0\nsvc.loop.longest_turn_us=0\nsvc.loop.longest_turn_for=\n" +
+			"svc.loop.hold_ups=0\nsvc.loop.held_up_ms=0\n"; !found || string(loopFigures) != want {
+			t.Errorf("%s: the loop's figures are %q, want %q", c.fixture, loopFigures, want)
+		}
 		if err := log.Close(); err != nil {
 			t.Error(err)
 		}
--- a/internal/proxy/hotrestart_link.go
+++ b/internal/proxy/hotrestart_link.go
@@ -140,6 +140,7 @@
 	if r.successor != nil {
 		r.successor.link.conn.Close()
 	}
+	r.loop.NameTurn(turnHandover)
 	state, err := r.host.encodeState()
 	if err == nil {
 		err = conn.WriteWithDescriptors(append(state, '\n'), r.host.listenerDescriptors()...)
--- a/internal/proxy/latency.go
+++ b/internal/proxy/latency.go
@@ -65,6 +65,7 @@
 }
 
 func (p *Proxy) checkConnections() {
+	p.loop.NameTurn(turnSweep)
 	now := p.loop.Now()
 	for _, s := range slices.Clone(p.sessions.established) {
 		if s.downstreamState() == stateRelaying { // else it was closed with one before it
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,6 +35,8 @@
 	log      *logging.Logger
 	protocol Protocol
 	counters metrics.Counters
+	turns    turnObserver
+	reasons  metrics.Reasons
 
 	settings       balancer.Settings
 	droppedClasses map[string]balancer.Class // no longer in the settings, but of connections that are still open
@@ -107,6 +109,8 @@
 		endpoints:      endpointTable{},
 		latency:        newLatencyTracker(),
 	}
+	p.turns = turnObserver{log: log, endpoints: p.endpoints}
+	loop.Observe(&p.turns)
 	p.restart = hotRestart{host: p, loop: loop, log: log}
 	p.drainer = drainer{host: p, loop: loop}
 	p.limits = descriptorLimit{max: c.MaxDescriptors, loop: loop, peers: &p.restart}
@@ -160,4 +164,7 @@
 func (p *Proxy) writeCounters(w io.Writer) {
 	p.counters.OpenConnections = metrics.Counter(len(p.sessions.established))
 	p.counters.WriteLine(w)
+	p.turns.figures.WritePairs(w)
+	p.reasons.WritePairs(w)
+	fmt.Fprintln(w)
 }
--- a/internal/proxy/reattach.go
+++ b/internal/proxy/reattach.go
@@ -28,7 +28,7 @@
 	now := p.loop.Now()
 	e := p.endpoints[s.request.PreviousEndpoint]
 	if e == nil {
-		s.fail()
+		s.fail(reasonNoEndpoint)
 		return
 	}
 	a := &attempt{session: s, endpoint: e, startedAt: now, deadline: now + reattachAttemptTimeout}
@@ -49,7 +49,7 @@
 		s.reattachSince = a.startedAt
 	}
 	if p.loop.Now()-s.reattachSince > reattachTimeout {
-		s.fail()
+		s.fail(reasonReattachTimeout)
 		return
 	}
 	p.loop.After(reattachInterval, func() {
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -16,6 +16,7 @@
 // any goroutine while the proxy runs.
 func (p *Proxy) Reload(c *config.Config) error {
 	return p.loop.Post(func() {
+		p.loop.NameTurn(turnReload)
 		if err := c.Settings.Check(); err != nil { // the caller has checked the file
 			p.rejectReload(err)
 			return
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"example.org/micafront/internal/metrics"
 	"example.org/micafront/internal/routing"
 	"go.uber.org/zap"
 )
@@ -46,7 +47,7 @@
 	decision, ok := table.Decide(&line)
 	if !ok {
 		p.counters.NoRoute++
-		s.fail()
+		s.fail(reasonNoRoute)
 		return false
 	}
 	routeName := table.Set.Routes[decision.Route].Name
@@ -59,7 +60,7 @@
 		s.policyState.Pool = decision.Pool
 	default:
 		p.counters.ResourceExhausted++
-		s.reject(s.retryAfter(p.overloadDelay()))
+		s.reject(s.retryAfter(p.overloadDelay()), reasonPoolLimit)
 		return false
 	}
 	s.table = table
@@ -82,13 +83,13 @@
 }
 
 // onPoolRejected executes a balancer's Reject: the request goes on to its policy's next pool, else it is rejected.
-func (s *session) onPoolRejected(pool *endpointPool, delay time.Duration) {
+func (s *session) onPoolRejected(pool *endpointPool, delay time.Duration, reason metrics.Reason) {
 	p := s.proxy
 	if s.answered || s.pool != pool {
 		return
 	}
 	if !s.hasNextPool() {
-		s.reject(s.retryAfter(delay))
+		s.reject(s.retryAfter(delay), reason)
 		return
 	}
 	p.counters.Fallbacks++
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"example.org/micafront/balancer"
 	"example.org/micafront/internal/evloop"
 	"example.org/micafront/internal/metrics"
 	"example.org/micafront/internal/routing"
@@ -47,7 +48,8 @@
 	retries       retryGuard
 	attempt       *attempt // the one under way, then the established one; nil: none is
 	attemptCount  int
-	reattachSince time.Duration // when its first attempt to reattach began; 0: none has failed
+	lastStatus    balancer.Status // how the latest attempt ended, if one has
+	reattachSince time.Duration   // when its first attempt to reattach began; 0: none has failed
 
 	// The connection between client and endpoint.
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -39,6 +39,7 @@
 }
 
 func (d *drainer) step() {
+	d.loop.NameTurn(turnDrain)
 	now := d.loop.Now()
 	if !d.stopping() || !d.host.transferConnections() {
 		d.host.migrateClients(now)
@@ -112,9 +113,9 @@
 			continue
 		}
 		if s.policyState.MayHaveRun() || s.attempt != nil && s.attempt.stage >= stageSent {
-			s.fail()
+			s.fail(reasonStopping)
 		} else {
-			s.reject(0)
+			s.reject(0, reasonStopping)
 		}
 		s.abandon()
 	}
