Read a handover up to the end of its state, not what comes behind it

Operators saw a hot restart amid a release write 'handover unreadable, starting without it': bytes left after unmarshal.

Cause: Request read until the bytes ended with a newline (hotrestart.go, receive), so a heartbeat that came in the same read as the end of the state became part of it; one that came in pieces behind it was read as well. The successor then began with nothing. Evidence: TestMessagesBehindTheStateStayInTheSocket fails without the change: the link reads '' in place of two heartbeats.

Change: the bytes are looked at first (MSG_PEEK) and read up to the newline; all else stays in the socket. Of the class, messages that come together or in pieces: the link between two processes (peerLink.Data) splits at newlines already; descriptors are given out in the order of their messages.

--- a/internal/hotrestart/hotrestart.go
+++ b/internal/hotrestart/hotrestart.go
@@ -136,7 +136,8 @@
 	return nil
 }
 
-// receive reads the state up to its newline, and the descriptors that come with it.
+// receive reads the state up to its newline, and the descriptors that come with it. What follows, such as a heartbeat that the
+// running process sends at once, stays in the socket for the link.
 func (h *Handover) receive(path string, deadline time.Time) error {
 	buf := make([]byte, readBufferBytes)
 	control := make([]byte, evloop.ControlBytes(maxListeners))
@@ -150,7 +151,18 @@
 		}
 		timeout := unix.NsecToTimeval(int64(max(remaining, time.Millisecond)))
 		_ = unix.SetsockoptTimeval(h.Link, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &timeout)
-		n, controlBytes, _, _, err := unix.Recvmsg(h.Link, buf, control, unix.MSG_CMSG_CLOEXEC)
+		ahead, _, err := unix.Recvfrom(h.Link, buf, unix.MSG_PEEK)
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		if err != nil {
+			return os.NewSyscallError("recvfrom", err)
+		}
+		wanted := buf[:max(ahead, 1)]
+		if end := bytes.IndexByte(wanted, '\n'); end >= 0 {
+			wanted = wanted[:end+1]
+		}
+		n, controlBytes, _, _, err := unix.Recvmsg(h.Link, wanted, control, unix.MSG_CMSG_CLOEXEC)
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -85,3 +86,60 @@
 	}
 	testkit.Equal(t, "place", path, typed.Place)
 }
+
+// TestMessagesBehindTheStateStayInTheSocket sends the state in pieces, with the first heartbeats at once behind it: the state ends
+// with its newline, and the heartbeats are left to whoever reads the link.
+func TestMessagesBehindTheStateStayInTheSocket(t *testing.T) {
+	const state, heartbeats = `{"Discovery":"127.0.0.1:1"}` + "\n", `{"open":1}` + "\n" + `{"open":2}` + "\n"
+	for _, pieces := range [][]string{
+		{state + heartbeats},
+		{state[:5], state[5:] + heartbeats},
+		{state, heartbeats},
+		{state[:len(state)-1], "\n" + heartbeats[:4], heartbeats[4:]},
+	} {
+		path := filepath.Join(t.TempDir(), "s.sock")
+		listener, err := net.ListenUnix("unix", &net.UnixAddr{Name: path})
+		if err != nil {
+			t.Fatal(err)
+		}
+		served, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		file, err := served.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := listener.AcceptUnix()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			for i, piece := range pieces {
+				var rights []byte
+				if i == 0 {
+					rights = unix.UnixRights(int(file.Fd()))
+				}
+				_, _, _ = conn.WriteMsgUnix([]byte(piece), rights, nil)
+			}
+		}()
+		handover, err := Request(path)
+		if err != nil {
+			t.Fatalf("%q: %v", pieces, err)
+		}
+		testkit.Equal(t, "state", state, string(handover.State))
+		testkit.Equal(t, "listeners", 1, len(handover.Listeners))
+		link := os.NewFile(uintptr(handover.Link), "link")
+		rest, err := io.ReadAll(link)
+		if err != nil {
+			t.Fatal(err)
+		}
+		testkit.Equal(t, "what the link reads", heartbeats, string(rest))
+		_ = link.Close()
+		_ = unix.Close(handover.Listeners[0])
+		_ = file.Close()
+		_ = served.Close()
+		_ = listener.Close()
+	}
+}
