Decode the entries of an endpoint list as they come, not all at its end

A whole list of 3,200 endpoints was decoded in the turn in which its last byte came: 3.7 to 6 ms beside what applying it takes.

Change: entryDecoder decodes each whole entry of the form that discovery writes while the pieces are read (64 KiB a read, four a turn), also of indented objects; any other form is decoded at once as before. A line that grows in the known form is no longer checked as a whole at each doubling.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -95,7 +95,9 @@
 
 // Entries converts the list's entries for routing. Their times are since the Unix epoch, as the loop's are.
 func (l *List) Entries() (entries []routing.Entry) {
-	for _, e := range l.Instances {
+	entries = make([]routing.Entry, 0, len(l.Instances))
+	for i := range l.Instances {
+		e := &l.Instances[i]
 		endpoint := balancer.Endpoint{
 			ID:        e.ID,
 			Phase:     lifecyclePhases[e.Lifecycle],
--- a/internal/discovery/object_stream.go
+++ b/internal/discovery/object_stream.go
@@ -22,6 +22,8 @@
 	line        []byte              // of a line that has not ended
 	triedLength int                 // of the line when it was last tried
 	decoder     *incrementalDecoder // of an object that is not one line; nil: none is under way
+	text        []byte              // of that object so far
+	entries     entryDecoder        // of the object that is under way
 	multiline   bool                // the current line is not one object
 	closed      bool
 }
@@ -79,8 +81,7 @@
 		if s.line != nil {
 			line = append(s.line, line...)
 		}
-		var decoded List
-		if decoded.decode(line) == nil && checkLength(line) == nil {
+		if decoded, ok := s.decodeLine(line); ok {
 			s.resetLine()
 			return &decoded, data[end:], decoded.validate()
 		}
@@ -93,10 +94,33 @@
 	return s.decodeObject(data)
 }
 
+// decodeLine decodes a line that is a whole object; false where it is none.
+func (s *objectStream) decodeLine(line []byte) (list List, ok bool) {
+	if checkLength(line) != nil {
+		return list, false
+	}
+	if s.line != nil { // it came in pieces
+		if list, ok = s.entries.list(line); ok {
+			return list, true
+		}
+	}
+	err := list.decode(line)
+	return list, err == nil
+}
+
 // extendLine keeps a piece of a line that has not ended. The line may be a whole object all the same, which it returns then; else
 // nil. It is tried once it has grown by retryLineFactor, so that each of its bytes is read twice at most for that.
 func (s *objectStream) extendLine(data []byte) (*List, error) {
 	s.line = append(s.line, data...)
+	s.entries.advance(s.line)
+	if list, ok := s.entries.list(s.line); ok && checkLength(s.line) == nil {
+		s.resetLine()
+		s.multiline = true
+		return &list, list.validate()
+	}
+	if s.entries.stage == amongEntries {
+		return nil, checkLength(s.line)
+	}
 	mayBeWhole := data[len(data)-1] == '}' && len(s.line) >= retryLineFactor*s.triedLength && checkLength(s.line) == nil
 	if mayBeWhole {
 		s.triedLength = len(s.line)
@@ -114,21 +138,37 @@
 func (s *objectStream) decodeObject(data []byte) (*List, []byte, error) {
 	if s.decoder == nil {
 		s.decoder = newIncrementalDecoder()
+		s.entries = entryDecoder{}
 	}
 	rest, whole, err := s.decoder.Feed(data)
-	if err != nil || !whole {
+	if err != nil {
 		return nil, rest, err
 	}
-	text := s.decoder.object
+	if !whole {
+		s.text = append(s.text, data...)
+		s.entries.advance(s.text)
+		return nil, rest, nil
+	}
+	list, err := s.parseWhole(s.decoder.object)
 	s.decoder = nil
-	list, err := ParseList(text)
+	s.text = nil
+	s.entries = entryDecoder{}
 	return &list, rest, err
 }
 
+// parseWhole parses the text of an object whose entries have been decoded as far as they came in earlier pieces.
+func (s *objectStream) parseWhole(text []byte) (List, error) {
+	if list, ok := s.entries.list(text); ok {
+		return list, list.validate()
+	}
+	return ParseList(text)
+}
+
 // resetLine forgets the line that was kept.
 func (s *objectStream) resetLine() {
 	s.line = nil
 	s.triedLength = 0
+	s.entries = entryDecoder{}
 }
 
 // End is called at the end of the response, which ends a line too. It returns the object in that line; found is false where there
@@ -140,7 +180,7 @@
 	if s.line == nil {
 		return list, false, nil
 	}
-	list, err = ParseList(s.line)
+	list, err = s.parseWhole(s.line)
 	return list, true, err
 }
 
