Do less in one turn for a list: no maps of all names, no sorting, handover encoded off the loop

With thousands of endpoints several turns still grew long: a whole list was applied by way of three maps of all its names; each latency report sorted all endpoints; a hot restart encoded list and state in the turn in which the successor connected.

Change: lists are told apart by a mark on each endpoint; latency reports go through the endpoints that have samples (which were also kept for ever where the settings have no message objective); the state for a successor is captured in a turn and encoded by a goroutine that shares nothing with the loop. A successor that leaves before it got anything no longer ends the link to another.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -41,6 +41,7 @@
 
 	endpoints    map[string]*endpointState // by ID
 	ready        readyList                 // of those
+	updates      uint64                    // endpoint lists that were applied
 	zoneOutliers map[string]*outlierState  // by zone
 
 	// What is active: attempts in flight and established connections of this node.
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -22,7 +22,8 @@
 	hash  uint64 // of the id
 	phase Phase  // setPhase changes it
 
-	inReadyList bool // it is one of the ready list's as that was last read
+	inReadyList bool   // it is one of the ready list's as that was last read
+	listedBy    uint64 // which of the updates named it last
 
 	size      float64 // relative capacity
 	zone      string
--- a/balancer/endpoint_update.go
+++ b/balancer/endpoint_update.go
@@ -16,25 +16,22 @@
 	if update.Kind != CachedList {
 		b.watchFailures = 0
 	}
+	b.updates++
 	for i := range update.Entries {
 		b.applyEntry(&update.Entries[i])
 	}
 	if update.Kind == FullList || update.Kind == CachedList {
-		b.removeUnlisted(update.Entries)
+		b.removeUnlisted()
 	}
 	if !b.started {
 		b.startWithFirstList()
 	}
 }
 
-// removeUnlisted removes the endpoints that a whole list does not name.
-func (b *Balancer) removeUnlisted(entries []Endpoint) {
-	listed := make(map[string]bool, len(entries))
-	for i := range entries {
-		listed[entries[i].ID] = true
-	}
-	for id, endpoint := range b.endpoints {
-		if !listed[id] && endpoint.phase != Removed {
+// removeUnlisted removes the endpoints that the present update, a whole list, does not name.
+func (b *Balancer) removeUnlisted() {
+	for _, endpoint := range b.endpoints {
+		if endpoint.listedBy != b.updates && endpoint.phase != Removed {
 			b.setPhase(endpoint, Removed)
 		}
 	}
@@ -45,6 +42,7 @@
 	if endpoint == nil {
 		endpoint = b.newEndpoint(entry.ID)
 	}
+	endpoint.listedBy = b.updates
 	if endpoint.phase != entry.Phase {
 		b.setPhase(endpoint, entry.Phase)
 		b.startDrain(endpoint)
--- a/balancer/handover_state.go
+++ b/balancer/handover_state.go
@@ -87,7 +87,8 @@
 	if b.hasCompactTable() {
 		state.AdmissionRate, state.CompactAdmissionRate = 0, b.admissionRate
 	}
-	indices := map[*endpointState]int{}
+	indices := make(map[*endpointState]int, len(b.endpoints))
+	state.Endpoints = make([]EndpointRecord, 0, len(b.endpoints))
 	for _, endpoint := range b.referencedEndpoints() {
 		if _, known := indices[endpoint]; known {
 			continue
--- a/balancer/table_state.go
+++ b/balancer/table_state.go
@@ -31,6 +31,7 @@
 func encodeTable(table *slotTable, endpointIndex func(*endpointState) int) TableState {
 	encoded := TableState{Counts: slices.Clone(table.counts), Owners: []int{}, SlotSize: table.slotSize}
 	if table.slotCount() > maxEncodedOwners {
+		encoded.Members = make([]int, 0, len(table.members))
 		for _, member := range table.members {
 			encoded.Members = append(encoded.Members, endpointIndex(member))
 		}
--- a/internal/proxy/endpoint.go
+++ b/internal/proxy/endpoint.go
@@ -17,6 +17,7 @@
 	zone  string
 	entry discovery.Entry
 
+	listedBy      listMark
 	drainingSince time.Duration  // when it was first known to drain, or to be removed; 0: it takes requests
 	loadQuery     *loadQueryConn // nil: none is open
 
@@ -40,30 +41,30 @@
 // endpointTable are the endpoints of the current list by ID. A connection keeps its endpoint when that is removed.
 type endpointTable map[string]*endpoint
 
+// listMark tells lists apart: each has another one.
+type listMark int64
+
 // apply brings the table up to a list, or to changes of it.
-func (t endpointTable) apply(list discovery.List, kind balancer.ListKind, now time.Duration) {
-	if kind != balancer.DeltaList {
-		t.removeUnlisted(list, now)
+func (t endpointTable) apply(list discovery.List, kind balancer.ListKind, now time.Duration, mark listMark) {
+	for i := range list.Instances {
+		t.applyEntry(&list.Instances[i], now, mark)
 	}
-	for _, entry := range list.Instances {
-		t.applyEntry(entry, now)
+	if kind != balancer.DeltaList {
+		t.removeUnlisted(now, mark)
 	}
 }
 
-func (t endpointTable) removeUnlisted(list discovery.List, now time.Duration) {
-	listed := map[string]bool{}
-	for _, entry := range list.Instances {
-		listed[entry.ID] = true
-	}
-	for id := range t {
-		if !listed[id] {
-			t[id].markDraining(now)
+// removeUnlisted removes the endpoints that the whole list with a mark does not name.
+func (t endpointTable) removeUnlisted(now time.Duration, mark listMark) {
+	for id, e := range t {
+		if e.listedBy != mark {
+			e.markDraining(now)
 			delete(t, id)
 		}
 	}
 }
 
-func (t endpointTable) applyEntry(entry discovery.Entry, now time.Duration) {
+func (t endpointTable) applyEntry(entry *discovery.Entry, now time.Duration, mark listMark) {
 	e := t[entry.ID]
 	if e == nil {
 		e = &endpoint{id: entry.ID}
@@ -73,7 +74,8 @@
 		e.addr = entry.HostPort
 	}
 	e.zone = entry.Zone
-	e.entry = entry
+	e.entry = *entry
+	e.listedBy = mark
 	e.entry.HostPort = e.addr
 	if entry.Lifecycle == discovery.InService {
 		e.drainingSince = 0
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -50,7 +50,8 @@
 	} else {
 		p.counters.FullLists++
 	}
-	p.endpoints.apply(list, kind, p.loop.Now())
+	mark := listMark(p.counters.DeltaLists + p.counters.FullLists)
+	p.endpoints.apply(list, kind, p.loop.Now(), mark)
 }
 
 // onListFailure reports a failed call for the list to the lead pool's balancer, which alone asks again.
--- a/internal/proxy/hotrestart_link.go
+++ b/internal/proxy/hotrestart_link.go
@@ -31,7 +31,7 @@
 	isStopping() bool
 	pauseListeners(paused bool)
 	listenerDescriptors() []int
-	encodeState() ([]byte, error)
+	captureState() *capturedState
 	// establishedEndpoints are the endpoints of established connections by client.
 	establishedEndpoints() map[uint64]string
 	restoreEstablished(endpoints map[uint64]string)
@@ -137,24 +137,38 @@
 		conn.Close()
 		return &successor.link
 	}
-	if r.successor != nil {
-		r.successor.link.conn.Close()
-	}
 	r.loop.NameTurn(turnHandover)
-	state, err := r.host.encodeState()
+	state := r.host.captureState()
+	go func() { // ends with the text, which shares nothing with the loop
+		text, err := state.encode()
+		_ = r.loop.Post(func() { r.sendHandover(successor, text, err) }) // cannot fail, see evloop.Loop.Post
+	}()
+	return &successor.link
+}
+
+// sendHandover sends a process that has connected the listeners and the encoded state.
+func (r *hotRestart) sendHandover(successor *successorProcess, text []byte, err error) {
+	conn := successor.link.conn
+	if r.successor != nil && r.successor.serving {
+		conn.Close()
+		return
+	}
 	if err == nil {
-		err = conn.WriteWithDescriptors(append(state, '\n'), r.host.listenerDescriptors()...)
+		err = conn.WriteWithDescriptors(append(text, '\n'), r.host.listenerDescriptors()...)
 	}
 	if err != nil {
 		r.warn("hot restart: handover not sent", err)
 		conn.Close()
-		return &successor.link
+		return
+	}
+	if r.successor != nil {
+		r.successor.link.conn.Close()
 	}
 	r.log.Info("hot restart: successor connected")
+	successor.link.lastHeartbeat = r.loop.Now()
 	r.successor = successor
 	r.host.onPeersChanged()
 	r.startHeartbeats()
-	return &successor.link
 }
 
 // startHeartbeats sends heartbeats for as long as there are other processes.
--- a/internal/proxy/hotrestart_state.go
+++ b/internal/proxy/hotrestart_state.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"example.org/micafront/balancer"
@@ -44,15 +46,36 @@
 	return balancer.State{}, false
 }
 
-// encodeState encodes the state for a successor.
-func (p *Proxy) encodeState() ([]byte, error) {
-	list := discovery.List{Generation: p.discoveryClient.Generation, Reset: true, Instances: []discovery.Entry{}}
-	for _, e := range p.endpoints.sorted() {
+// capturedState is a handoverState whose endpoint list has yet to be encoded. It shares nothing that changes.
+type capturedState struct {
+	handoverState
+	list discovery.List
+}
+
+// encode returns the text for a successor. With thousands of endpoints that takes tens of milliseconds.
+func (c *capturedState) encode() ([]byte, error) {
+	slices.SortFunc(c.list.Instances, func(a, b discovery.Entry) int { return cmp.Compare(a.ID, b.ID) })
+	encodedList, err := json.Marshal(c.list)
+	if err != nil {
+		return nil, err
+	}
+	c.EndpointList = encodedList
+	return json.Marshal(c.handoverState)
+}
+
+// captureState takes the state for a successor.
+func (p *Proxy) captureState() *capturedState {
+	list := discovery.List{
+		Generation: p.discoveryClient.Generation,
+		Reset:      true,
+		Instances:  make([]discovery.Entry, 0, len(p.endpoints)),
+	}
+	for _, e := range p.endpoints {
 		list.Instances = append(list.Instances, e.entry)
 	}
 	state := handoverState{
 		Discovery:      p.discoveryClient.Addr,
-		DroppedClasses: p.droppedClasses,
+		DroppedClasses: maps.Clone(p.droppedClasses),
 		Reserved:       p.pools.owners.Reservations(),
 		Listeners:      p.listeners.extraNames(),
 	}
@@ -67,12 +90,7 @@
 	for id := range p.sessions.byClientID {
 		state.ClientIDs = append(state.ClientIDs, id)
 	}
-	encodedList, err := json.Marshal(list)
-	if err != nil {
-		return nil, err
-	}
-	state.EndpointList = encodedList
-	return json.Marshal(state)
+	return &capturedState{state, list}
 }
 
 // startBalancers starts the pools' balancers: from the predecessor's state, else with the endpoint list of the
--- a/internal/proxy/hotrestart_successor.go
+++ b/internal/proxy/hotrestart_successor.go
@@ -73,6 +73,9 @@
 func (proc *successorProcess) onLinkClosed(cause error) {
 	r := proc.restart
 	r.log.Debug("hot restart: link to the successor closed", zap.Error(cause))
+	if r.successor != proc {
+		return // it has gone before it got anything
+	}
 	r.successor = nil
 	r.log.Info("hot restart: successor exited, this process serves")
 	r.host.pauseListeners(false)
--- a/internal/proxy/latency.go
+++ b/internal/proxy/latency.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,20 +28,33 @@
 // latencyTracker is what latencies are derived from, beside the endpoints' own samples.
 type latencyTracker struct {
 	zoneFloor  map[string]time.Duration // the lowest latency seen in a zone, which is that of the network
+	sampled    map[*endpoint]bool       // that have samples
 	reportedAt time.Duration
 }
 
 func newLatencyTracker() latencyTracker {
-	return latencyTracker{zoneFloor: map[string]time.Duration{}}
+	return latencyTracker{zoneFloor: map[string]time.Duration{}, sampled: map[*endpoint]bool{}}
 }
 
 func (t *latencyTracker) observe(e *endpoint, latency time.Duration) {
-	e.latency.samples = append(e.latency.samples, latency)
+	t.addSample(e, latency)
 	if floor, ok := t.zoneFloor[e.zone]; !ok || latency < floor {
 		t.zoneFloor[e.zone] = latency
 	}
 }
 
+func (t *latencyTracker) addSample(e *endpoint, latency time.Duration) {
+	e.latency.samples = append(e.latency.samples, latency)
+	t.sampled[e] = true
+}
+
+// drainSampled returns the endpoints that have samples, by ID, and forgets which these are.
+func (t *latencyTracker) drainSampled() []*endpoint {
+	sampled := slices.SortedFunc(maps.Keys(t.sampled), func(a, b *endpoint) int { return cmp.Compare(a.id, b.id) })
+	clear(t.sampled)
+	return sampled
+}
+
 // medianLatency returns the median of an endpoint's samples less its zone's floor, and drops the samples.
 func (t *latencyTracker) medianLatency(e *endpoint) time.Duration {
 	slices.Sort(e.latency.samples)
@@ -103,6 +118,9 @@
 func (p *Proxy) reportLatencies(now time.Duration) {
 	objective := p.minMessageObjective()
 	if objective == 0 {
+		for _, e := range p.latency.drainSampled() {
+			e.latency.samples = nil
+		}
 		return
 	}
 	slow := objective / slowFraction
@@ -112,16 +130,15 @@
 		sessions[e] = s
 		age := now - s.relay.unansweredSince
 		if s.relay.unansweredSince != 0 && age > slow+p.latency.zoneFloor[e.zone] {
-			e.latency.samples = append(e.latency.samples, age)
+			p.latency.addSample(e, age)
 		}
 	}
-	for _, e := range p.endpoints.sorted() {
-		s := sessions[e]
-		if len(e.latency.samples) == 0 || s == nil {
+	for _, e := range p.latency.drainSampled() {
+		if s := sessions[e]; s != nil && p.endpoints[e.id] == e {
+			p.reportLatency(now, e, s, slow)
+		} else {
 			e.latency.samples = e.latency.samples[:0]
-			continue
 		}
-		p.reportLatency(now, e, s, slow)
 	}
 }
 
--- a/internal/routing/owners.go
+++ b/internal/routing/owners.go
@@ -43,6 +43,7 @@
 	warmUp    time.Duration               // of an endpoint after its start
 	endpoints map[string]*ownership       // by id
 	restored  map[string]balancer.Instant // reservations of an earlier process, by id, for endpoints that are not listed yet
+	lists     int                         // that were applied
 	notes     []Note                      // since DrainNotes was last called
 }
 
@@ -72,6 +73,7 @@
 	pool             int              // or noPool
 	servedSinceStart bool             // a pool has had it since its latest start
 	reservedUntil    balancer.Instant // 0: it is not reserved
+	listedBy         int              // which of the lists named it last
 }
 
 // updateBuilder collects the parts of a list by pool.
@@ -177,15 +179,15 @@
 func (o *Owners) ApplyList(now balancer.Instant, kind balancer.ListKind, version int64, entries []Entry) []PoolUpdate {
 	updates := newUpdateBuilder(len(o.set.Pools), balancer.EndpointUpdate{Kind: kind, Version: version})
 	isDelta := kind == balancer.DeltaList
-	if !isDelta {
-		listed := make(map[string]bool, len(entries))
-		for _, e := range entries {
-			listed[e.ID] = true
-		}
-		maps.DeleteFunc(o.endpoints, func(id string, _ *ownership) bool { return !listed[id] })
+	o.lists++
+	if len(updates) == 1 {
+		updates[0].Members.Entries = make([]balancer.Endpoint, 0, len(entries))
 	}
-	for _, e := range entries {
-		o.placeEndpoint(now, e, updates, isDelta)
+	for i := range entries {
+		o.placeEndpoint(now, entries[i], updates, isDelta)
+	}
+	if !isDelta {
+		maps.DeleteFunc(o.endpoints, func(_ string, e *ownership) bool { return e.listedBy != o.lists })
 	}
 	return updates
 }
@@ -207,6 +209,7 @@
 		known.reservedUntil = 0
 	}
 	known.entry = e
+	known.listedBy = o.lists
 	if known.pool != pool {
 		o.changePool(now, known, pool, updates, addRemoval)
 	} else if known.reservedUntil > 0 {
