Ask a bounded number of endpoints for their load, and begin few queries a turn

The sum of the fleet's load took the square of the list where endpoints report no connections, and was made at each report and attempt.

Cause: scheduleLoadReports asks every ready endpoint; Tracker.ExpectedLoad summed all sizes for each endpoint.

Change: up to 256 endpoints all are asked, as before; of a larger list those with connections of this node and a stable sample of 128, another at each node. Queries begin 16 a turn. The tracker's sums go through one sorted slice, and the total size is kept.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -7,11 +7,12 @@
 
 // This file decides whether new connections are admitted.
 
-// Salts make the draws by which a client's hash decides different things independent.
+// Salts make the draws by which a client's or an endpoint's hash decides different things independent.
 const (
 	admissionSalt uint64 = iota
 	quotaSalt
 	localTableSalt
+	reportSampleSalt
 )
 
 // updateAdmission adjusts the admission rate by the stress of this node's connections, twice within OverloadWindow.
--- a/balancer/load_learning.go
+++ b/balancer/load_learning.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"example.org/micafront/balancer/hashing"
 	"example.org/micafront/balancer/loadreport"
 )
 
@@ -51,7 +52,7 @@
 		return
 	}
 	interval := loadreport.ReportInterval(b.now-b.startedAt, b.settings.Rules.OverloadWindow, b.loadReports.FleetLoad(b.now))
-	for _, endpoint := range b.readyEndpoints() {
+	for _, endpoint := range b.reportingEndpoints() {
 		if !b.isEjected(endpoint) && b.loadReports.ReportDue(endpoint.id, endpoint.size, b.now, interval) {
 			b.emit(HealthCheck{Endpoint: endpoint.id})
 		}
@@ -59,6 +60,32 @@
 	b.setTimer(loadReportTimer, time.Duration(b.jitter()*float64(interval)/4))
 }
 
+const (
+	// maxReportingEndpoints is up to how many endpoints all are asked for their load. Each costs a connection that is kept, and an
+	// answer every interval, and neither may grow with the list.
+	maxReportingEndpoints = 256
+	// sampledEndpoints is of how many others a node asks in a larger list, in the mean: the fleet's load is estimated by them.
+	sampledEndpoints = 128
+)
+
+// reportingEndpoints are the endpoints that are asked for their load, by ID: all, or in a large list those that have connections
+// of this node and a sample. The sample differs from node to node and is the same from time to time, so that connections last.
+func (b *Balancer) reportingEndpoints() []*endpointState {
+	ready := b.readyEndpoints()
+	if len(ready) <= maxReportingEndpoints {
+		return ready
+	}
+	node := hashing.Combine(reportSampleSalt, uint64(b.settings.Self))
+	sampledFraction := sampledEndpoints / float64(len(ready))
+	var reporting []*endpointState
+	for _, endpoint := range ready {
+		if len(endpoint.active) > 0 || hashing.Uniform(endpoint.hash, node) < sampledFraction {
+			reporting = append(reporting, endpoint)
+		}
+	}
+	return reporting
+}
+
 // maxReportedLoad is beyond any load that an endpoint can mean.
 const maxReportedLoad = 1e6
 
--- a/balancer/load_learning_test.go
+++ b/balancer/load_learning_test.go
@@ -49,3 +49,48 @@
 		}
 	}
 }
+
+// TestLoadQueriesDoNotGrowWithTheList: of a large list a node asks those endpoints for their load that have connections of its own,
+// and some others, the same from time to time and others than another node; of a small one all.
+func TestLoadQueriesDoNotGrowWithTheList(t *testing.T) {
+	asked := func(b *Balancer, now Instant) map[string]bool {
+		ids := map[string]bool{}
+		for _, check := range actionsOf[HealthCheck](b.Handle(now, Timer{Token: loadReportTimer})) {
+			ids[check.Endpoint] = true
+		}
+		return ids
+	}
+	start := func(self, endpoints int) *Balancer {
+		settings := testSettings()
+		settings.LoadReports, settings.Self = true, self
+		return startBalancer(t, settings, testEndpoints(endpoints), 1)
+	}
+	if got := len(asked(start(0, maxReportingEndpoints), 10*sec)); got != maxReportingEndpoints {
+		t.Errorf("%d of %d endpoints are asked", got, maxReportingEndpoints)
+	}
+	b, other := start(0, 3200), start(1, 3200)
+	first := asked(b, 10*sec)
+	if len(first) < sampledEndpoints/2 || len(first) > maxReportingEndpoints {
+		t.Errorf("%d of 3,200 endpoints are asked", len(first))
+	}
+	shared := 0
+	for id := range asked(other, 10*sec) {
+		if first[id] {
+			shared++
+		}
+	}
+	if shared > len(first)/2 {
+		t.Errorf("two nodes ask %d endpoints in common", shared)
+	}
+	send := actionsOf[Send](b.Handle(11*sec, testRequest(1, 11*sec)))[0]
+	later := asked(b, 20*sec)
+	if !later[send.Endpoint] {
+		t.Errorf("the endpoint of an attempt is not asked")
+	}
+	delete(later, send.Endpoint)
+	for id := range later {
+		if !first[id] {
+			t.Errorf("%s is asked later and was not at first", id)
+		}
+	}
+}
--- a/balancer/loadreport/tracker.go
+++ b/balancer/loadreport/tracker.go
@@ -6,6 +6,8 @@
 package loadreport
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -32,12 +34,21 @@
 // Tracker holds the evidence on all endpoints. The zero value knows nothing; Configure comes first.
 type Tracker struct {
 	byEndpoint       map[string]*Evidence
-	sortedIDs        []string // the keys of byEndpoint, so that sums don't depend on the order of a map
+	sorted           []tracked // of byEndpoint, by ID, so that sums don't depend on the order of a map
+	totalSize        float64   // of all endpoints; 0: it has changed and is to be summed again
 	nodes            float64
 	maxAge           time.Duration // older evidence says nothing of the fleet: the endpoint is no longer asked
 	fleetConnections float64       // mean connections that fill the fleet by the tenants' quotas; 0: unknown
 }
 
+// tracked is an endpoint's evidence with its ID.
+type tracked struct {
+	id       string
+	evidence *Evidence
+}
+
+func compareTracked(t tracked, id string) int { return cmp.Compare(t.id, id) }
+
 // Configure takes what follows from the settings: the number of nodes, the time in which overload does harm, and how many
 // connections the tenants' quotas promise in all, 0 where they do not say.
 func (t *Tracker) Configure(nodes int, overloadWindow time.Duration, quotaConnections float64) {
@@ -55,10 +66,13 @@
 		}
 		evidence = &Evidence{}
 		t.byEndpoint[id] = evidence
-		position, _ := slices.BinarySearch(t.sortedIDs, id)
-		t.sortedIDs = slices.Insert(t.sortedIDs, position, id)
+		position, _ := slices.BinarySearchFunc(t.sorted, id, compareTracked)
+		t.sorted = slices.Insert(t.sorted, position, tracked{id, evidence})
+	}
+	if evidence.Size != size {
+		evidence.Size = size
+		t.totalSize = 0
 	}
-	evidence.Size = size
 	return evidence
 }
 
@@ -87,11 +101,12 @@
 	if evidence.ConnectionLoad > 0 || t.fleetConnections == 0 {
 		return evidence.ConnectionLoad
 	}
-	fleetSize := 0.0
-	for _, id := range t.sortedIDs {
-		fleetSize += t.byEndpoint[id].Size
+	if t.totalSize == 0 {
+		for _, entry := range t.sorted {
+			t.totalSize += entry.evidence.Size
+		}
 	}
-	return fleetSize / t.fleetConnections / evidence.Size
+	return t.totalSize / t.fleetConnections / evidence.Size
 }
 
 // ExpectedLoad is an endpoint's load by now, with so many more mean connections: what it reported, and what all nodes
@@ -99,21 +114,26 @@
 // taken to have sent as much as this one.
 func (t *Tracker) ExpectedLoad(id string, size, connections float64) float64 {
 	evidence := t.evidence(id, size)
+	return t.presentLoad(evidence) + connections*t.connectionLoad(evidence)
+}
+
+// presentLoad is the load by now.
+func (t *Tracker) presentLoad(evidence *Evidence) float64 {
 	likeNodes := math.Max(t.nodes/2, 1)
-	return evidence.ReportedLoad + likeNodes*evidence.SentLoad + connections*t.connectionLoad(evidence)
+	return evidence.ReportedLoad + likeNodes*evidence.SentLoad
 }
 
 // FleetLoad is what is asked of the fleet over what it can serve, by the reports that are fresh and what was sent since;
 // 0 where nothing is known.
 func (t *Tracker) FleetLoad(now time.Duration) float64 {
 	asked, capacity := 0.0, 0.0
-	for _, id := range t.sortedIDs {
-		evidence := t.byEndpoint[id]
+	for _, entry := range t.sorted {
+		evidence := entry.evidence
 		if evidence.ReportedAt == 0 || now-evidence.ReportedAt > t.maxAge {
 			continue
 		}
 		capacity += evidence.Size
-		asked += evidence.Size * t.ExpectedLoad(id, evidence.Size, 0)
+		asked += evidence.Size * t.presentLoad(evidence)
 	}
 	return asked / math.Max(capacity, 1e-9)
 }
@@ -130,8 +150,9 @@
 
 // Remove drops the evidence on an endpoint.
 func (t *Tracker) Remove(id string) {
-	if position, found := slices.BinarySearch(t.sortedIDs, id); found {
-		t.sortedIDs = slices.Delete(t.sortedIDs, position, position+1)
+	if position, found := slices.BinarySearchFunc(t.sorted, id, compareTracked); found {
+		t.sorted = slices.Delete(t.sorted, position, position+1)
+		t.totalSize = 0
 		delete(t.byEndpoint, id)
 	}
 }
@@ -148,8 +169,9 @@
 // Restore replaces all evidence by what Evidence returned.
 func (t *Tracker) Restore(all map[string]Evidence) {
 	t.byEndpoint = nil
-	t.sortedIDs = nil
-	for id, evidence := range all {
-		*t.evidence(id, evidence.Size) = evidence
+	t.sorted = nil
+	t.totalSize = 0
+	for _, id := range slices.Sorted(maps.Keys(all)) { // in this order each is added at the end
+		*t.evidence(id, all[id].Size) = all[id]
 	}
 }
--- a/cmd/micafront/large_list_test.go
+++ b/cmd/micafront/large_list_test.go
@@ -51,6 +51,10 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	line, err := reader.ReadString('\n')
+	for err == nil && strings.HasPrefix(line, "STATS") {
+		_, _ = conn.Write([]byte("PONG outstanding=1,x0=0.1\r\n"))
+		line, err = reader.ReadString('\n')
+	}
 	if err != nil {
 		return
 	}
@@ -238,3 +242,23 @@
 		t.Errorf("%d attempts, of which %d for clients that had gone", count, count-1)
 	}
 }
+
+// TestLoadQueriesLeaveDescriptorsForRequests has a list with several times as many endpoints as the proxy may have descriptors, all
+// of which report their load when they are asked: clients are served all the same.
+func TestLoadQueriesLeaveDescriptorsForRequests(t *testing.T) {
+	t.Parallel()
+	const sockets = 400
+	endpoint := newAnsweringEndpoint(t)
+	entries := endpoint.entries(0, largeListEndpoints, "in_service")
+	proxy := startProxy(t, fakes.List(1, true, entries...), withSettings(loadReportSettings), withSockets(sockets))
+	time.Sleep(time.Second) // several rounds of queries
+	for range 20 {
+		if timing := sendRequest(t, proxy.addr, time.Second); timing.answer != "UP r" {
+			t.Errorf("a request was answered %q", timing.answer)
+		}
+	}
+	t.Logf("%d descriptors are open", proxy.countDescriptors())
+	if open := proxy.countDescriptors(); open > sockets/2 {
+		t.Errorf("%d descriptors are open, with %d endpoints", open, largeListEndpoints)
+	}
+}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -91,6 +91,6 @@
 	case balancer.Log:
 		p.log.Info(action.Text)
 	case balancer.HealthCheck:
-		p.queryLoad(pool, action.Endpoint)
+		p.loadQueries.add(pool, action.Endpoint)
 	}
 }
--- a/internal/proxy/load_query.go
+++ b/internal/proxy/load_query.go
@@ -10,6 +10,50 @@
 // loadQueryIdleTimeout is how long a connection for load queries is kept without one: endpoints are removed, or drain.
 const loadQueryIdleTimeout = 15 * time.Second
 
+// loadQueriesPerTurn bounds how many queries one turn begins: each may dial.
+const loadQueriesPerTurn = 16
+
+// pendingLoadQuery is a query that has yet to begin.
+type pendingLoadQuery struct {
+	pool       *endpointPool
+	endpointID string
+}
+
+// loadQueryQueue begins the balancers' load queries a few a turn. They are asked of many endpoints at once.
+type loadQueryQueue struct {
+	loop      *evloop.Loop
+	begin     func(pool *endpointPool, endpointID string)
+	pending   []pendingLoadQuery
+	scheduled bool
+}
+
+// add begins a query in a later turn.
+func (q *loadQueryQueue) add(pool *endpointPool, endpointID string) {
+	q.pending = append(q.pending, pendingLoadQuery{pool, endpointID})
+	q.schedule()
+}
+
+func (q *loadQueryQueue) schedule() {
+	if !q.scheduled {
+		q.scheduled = true
+		q.loop.After(0, q.beginSome)
+	}
+}
+
+func (q *loadQueryQueue) beginSome() {
+	q.scheduled = false
+	some := q.pending[:min(len(q.pending), loadQueriesPerTurn)]
+	q.pending = q.pending[len(some):]
+	if len(q.pending) > 0 {
+		q.schedule()
+	} else {
+		q.pending = nil
+	}
+	for _, query := range some {
+		q.begin(query.pool, query.endpointID)
+	}
+}
+
 // loadQueryConn is the connection for the balancers' queries of one endpoint's load. It is kept between queries, since
 // setting one up costs an endpoint more than an answer does. There is one query at a time.
 type loadQueryConn struct {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,6 +58,8 @@
 	endpoints endpointTable
 	latency   latencyTracker
 
+	loadQueries loadQueryQueue
+
 	restart hotRestart
 	drainer drainer
 }
@@ -115,6 +117,7 @@
 	p.drainer = drainer{host: p, loop: loop}
 	p.limits = descriptorLimit{max: c.MaxDescriptors, loop: loop, peers: &p.restart}
 	p.idle = idleConns{limits: &p.limits, counters: &p.counters}
+	p.loadQueries = loadQueryQueue{loop: loop, begin: p.queryLoad}
 	p.events = eventQueue{loop: loop, executor: p}
 	p.pools = poolSet{
 		settings: p,
