Keep endpoints' start times and a handover's times when the wall clock is set

Term: the wall clock may step by seconds or an hour. The loop's clock is monotonic, but start times of endpoints are announced by the wall clock, and a hot restart began the successor's clock with it: after an hour back a started endpoint was taken to be warm, after an hour on it stayed in its slow start for an hour, and a successor refused the predecessor's state or took all in it to be old.

Change: startTimes notes steps of the wall clock when a list comes and converts a start to the loop's clock: the latest time that is not in the future by any clock that was observed; one that was found for an announced time stays, so that a step restarts no endpoint. The handover carries a reading of the loop's and the host's monotonic clock, and the successor goes on from it; a release that sends none is taken as before.

Evidence: TestClockStepsKeepSlowStart (an hour and seconds, both ways) and TestSuccessorContinuesTheClock; the code they test is new.

--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -79,6 +79,34 @@
 	return l.startUnix + time.Since(l.startedAt).Truncate(time.Microsecond)
 }
 
+// ClockReading is the loop's clock at a moment, with the host's monotonic clock, which all its processes share.
+type ClockReading struct {
+	Loop      time.Duration
+	Monotonic time.Duration
+}
+
+// ReadClock returns the present reading. Its error is that of the system's clock.
+func (l *Loop) ReadClock() (ClockReading, error) {
+	var monotonic unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic); err != nil {
+		return ClockReading{}, os.NewSyscallError("clock_gettime", err)
+	}
+	return ClockReading{Loop: l.clock(), Monotonic: time.Duration(monotonic.Nano())}, nil
+}
+
+// ContinueClock has the clock go on from a reading of another process on this host, whatever the wall clock has been set to since. It
+// must be called before any timer is set. Its error is that of the system's clock.
+func (l *Loop) ContinueClock(reading ClockReading) error {
+	present, err := l.ReadClock()
+	if err != nil {
+		return err
+	}
+	elapsed := present.Monotonic - reading.Monotonic
+	l.startUnix += (reading.Loop + elapsed - present.Loop).Truncate(time.Microsecond)
+	l.updateClock()
+	return nil
+}
+
 // Now is the time of this turn: Unix time at the start plus monotonic time, in whole microseconds.
 func (l *Loop) Now() time.Duration { return l.now }
 
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -40,6 +40,7 @@
 	p.loop.NameTurn(turnEndpointList)
 	p.log.Info("endpoint list", zap.Int64("generation", list.Generation), zap.Bool("whole", kind != balancer.DeltaList),
 		zap.Int("entries", len(list.Instances)))
+	p.startTimes.convert(&list, p.endpoints, p.loop.Now())
 	p.updateEndpoints(list, kind)
 	p.pools.applyList(&list, kind)
 }
--- a/internal/proxy/golden_test.go
+++ b/internal/proxy/golden_test.go
@@ -114,7 +114,7 @@
 // TestGoldenValuesSetEveryField fails when a field is added to an encoded type and the fixtures do not cover it. What only
 // the states of large tables have is pinned by package balancer's fixture of one.
 func TestGoldenValuesSetEveryField(t *testing.T) {
-	compactOnly := regexp.MustCompile(`(Table|ZoneTables)(\.Previous)?\.Members$|\.CompactAdmissionRate$`)
+	compactOnly := regexp.MustCompile(`(Table|ZoneTables)(\.Previous)?\.Members$|\.CompactAdmissionRate$|^Clock$`)
 	for _, value := range []any{goldenHandover(t), goldenHeartbeat()} {
 		for _, path := range testkit.UnsetPaths(value) {
 			if !compactOnly.MatchString(path) {
--- a/internal/proxy/hotrestart_link.go
+++ b/internal/proxy/hotrestart_link.go
@@ -61,6 +61,14 @@
 	link      int            // the connected socket; -1: there is no predecessor
 }
 
+// continueClock has the loop go on with the predecessor's clock, so that its times keep their meaning.
+func (h *receivedHandover) continueClock(loop *evloop.Loop) error {
+	if h.state == nil || h.state.Clock == nil {
+		return nil
+	}
+	return loop.ContinueClock(*h.state.Clock)
+}
+
 // requestHandover asks a process that serves as the same name at the same address for its listeners and state. Without
 // one, this process starts by itself.
 func (r *hotRestart) requestHandover(c *config.Config) receivedHandover {
--- a/internal/proxy/hotrestart_state.go
+++ b/internal/proxy/hotrestart_state.go
@@ -9,6 +9,7 @@
 	"example.org/micafront/balancer"
 	"example.org/micafront/internal/config"
 	"example.org/micafront/internal/discovery"
+	"example.org/micafront/internal/evloop"
 	"example.org/micafront/internal/routing"
 	jsoniter "github.com/json-iterator/go"
 	"go.uber.org/zap"
@@ -30,6 +31,9 @@
 	Listeners      []string                  // the names of the extra listeners, in the order of their descriptors
 	DroppedClasses map[string]balancer.Class `json:"Dropped"`
 	ClientIDs      []string                  `json:"Open"` // of all sessions
+
+	// Clock is that of the process, by which all times here are. Older releases have none: theirs began with the wall clock.
+	Clock *evloop.ClockReading `json:",omitempty"`
 }
 
 // poolState is the state of a pool, by its name or a former one; ok is false where there is none. single is set where the
@@ -76,7 +80,9 @@
 		Instances:  make([]discovery.Entry, 0, len(p.endpoints)),
 	}
 	for _, e := range p.endpoints {
-		list.Instances = append(list.Instances, e.entry)
+		entry := e.entry
+		entry.StartedAtMs = entry.AnnouncedStartMs // the successor converts it by its own clock
+		list.Instances = append(list.Instances, entry)
 	}
 	state := handoverState{
 		Discovery:      p.discoveryClient.Addr,
@@ -92,6 +98,9 @@
 			state.Pools[pool.name] = pool.balancer.CaptureState()
 		}
 	}
+	if clock, err := p.loop.ReadClock(); err == nil { // else the successor begins with the wall clock
+		state.Clock = &clock
+	}
 	for id := range p.sessions.byClientID {
 		state.ClientIDs = append(state.ClientIDs, id)
 	}
@@ -125,6 +134,7 @@
 	if state.Discovery != p.discoveryClient.Addr {
 		p.discoveryClient.Generation = 0 // generations of different sources do not compare
 	}
+	p.startTimes.convert(&list, p.endpoints, p.loop.Now())
 	p.updateEndpoints(list, balancer.CachedList)
 	p.pools.owners.RestoreReservations(state.Reserved)
 	updates := p.pools.owners.ApplyList(p.loop.Now(), balancer.CachedList, list.Generation, list.Entries())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -54,9 +54,10 @@
 	fleet           *configSubscriber   // nil: the configuration file alone applies
 	listSource      *endpointListSource // nil: the endpoint list is service discovery's alone
 
-	sessions  sessionTable
-	endpoints endpointTable
-	latency   latencyTracker
+	sessions   sessionTable
+	endpoints  endpointTable
+	startTimes startTimes
+	latency    latencyTracker
 
 	loadQueries loadQueryQueue
 
@@ -75,10 +76,13 @@
 	if err := p.pools.init(c.Routes, c.Seed); err != nil {
 		return nil, err
 	}
+	handover := p.restart.requestHandover(c)
+	if err := handover.continueClock(loop); err != nil {
+		return nil, err
+	}
 	p.discoveryClient = p.newDiscoveryClient(c)
 	p.startListSource(c)
 	p.limitMemory()
-	handover := p.restart.requestHandover(c)
 	if err := p.listeners.open(loop, p, c, handover.listeners); err != nil {
 		return nil, err
 	}
@@ -110,6 +114,7 @@
 		sessions:       newSessionTable(),
 		endpoints:      endpointTable{},
 		latency:        newLatencyTracker(),
+		startTimes:     newStartTimes(),
 	}
 	p.turns = turnObserver{log: log, endpoints: p.endpoints}
 	loop.Observe(&p.turns)
--- /dev/null
+++ b/internal/proxy/start_times_test.go
@@ -0,0 +1,86 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"example.org/micafront/balancer"
+	"example.org/micafront/internal/discovery"
+	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/testing/testkit"
+)
+
+// TestClockStepsKeepSlowStart sets the wall clock by an hour either way, and by seconds, while endpoints start: one that has just
+// started is in its slow start and no longer than that, one that has been up stays warm, and none is taken to have restarted.
+func TestClockStepsKeepSlowStart(t *testing.T) {
+	for name, step := range map[string]time.Duration{
+		"an hour on": time.Hour, "an hour back": -time.Hour, "seconds on": 7 * time.Second, "seconds back": -7 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newScaledProxy(t, false)
+			now := p.loop.Now()
+			wall := now // as the loop's clock began
+			p.startTimes.wallClock = func() time.Time { return time.Unix(0, int64(wall)) }
+			entry := func(id string, startedAt time.Duration) discovery.Entry {
+				return discovery.Entry{ID: id, HostPort: "127.0.0.1:1", Zone: "a", Lifecycle: discovery.InService, StartedAtMs: startedAt.Milliseconds()}
+			}
+			startOf := func(id string) time.Duration {
+				return now - time.Duration(p.endpoints[id].entry.StartedAtMs)*time.Millisecond
+			}
+			p.applyList(balancer.FullList, []discovery.Entry{
+				entry("long", wall-100*time.Hour), entry("before", wall-3*time.Second), entry("unknown", 0),
+			})
+			long, before := startOf("long"), startOf("before")
+			testkit.Equal(t, "age before the step", true, (before-3*time.Second).Abs() < 10*time.Millisecond)
+
+			formerWall := wall
+			wall += step
+			p.applyList(balancer.DeltaList, []discovery.Entry{
+				entry("after", wall-time.Second), entry("crossing", formerWall-2*time.Second), entry("before", formerWall-3*time.Second),
+			})
+			testkit.Equal(t, "age of one that started after the step", true, startOf("after") <= time.Second+10*time.Millisecond && startOf("after") >= -startTolerance)
+			testkit.Equal(t, "age of one that started before the step and is listed after it", true, startOf("crossing") <= 2*time.Second+10*time.Millisecond)
+			testkit.Equal(t, "age of one that was known", before, startOf("before"))
+			testkit.Equal(t, "age of one that has long been up", long, startOf("long"))
+			testkit.Equal(t, "start of one that says none", int64(0), p.endpoints["unknown"].entry.StartedAtMs)
+
+			p.applyList(balancer.DeltaList, []discovery.Entry{entry("long", wall)}) // it restarts, maybe by a lower clock
+			testkit.Equal(t, "age of one that has restarted", true, startOf("long") <= 10*time.Millisecond)
+		})
+	}
+}
+
+// TestSuccessorContinuesTheClock hands a state over after the wall clock has been set: the times in it keep their meaning.
+func TestSuccessorContinuesTheClock(t *testing.T) {
+	predecessor, successor := newTestLoop(t), newTestLoop(t)
+	const step = -time.Hour
+	reading, err := predecessor.ReadClock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	reading.Loop -= step // as if the wall clock had been set back since the predecessor's start
+	handover := receivedHandover{state: &handoverState{Clock: &reading}}
+	if err := handover.continueClock(successor); err != nil {
+		t.Fatal(err)
+	}
+	present, err := predecessor.ReadClock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	difference := successor.Now() - (present.Loop - step)
+	testkit.Equal(t, "the clocks differ by less than a second", true, difference.Abs() < time.Second)
+	none := receivedHandover{}
+	before := successor.Now()
+	if err := none.continueClock(successor); err != nil || successor.Now() != before {
+		t.Errorf("without a predecessor the clock went from %v to %v, %v", before, successor.Now(), err)
+	}
+}
+
+func newTestLoop(t *testing.T) *evloop.Loop {
+	t.Helper()
+	loop, err := evloop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return loop
+}
