Survive system calls that fail in the ways Linux documents

Found by reading evloop and by tests that replace its calls (evloop.System):

- accept: errors of a connection that is gone (EPROTO, ENETDOWN, EHOSTUNREACH and others of accept(2)) paused accepting by 10 ms like a lack of descriptors; one that goes on for ever could have kept the loop spinning.
- a listener that closed while descriptors or memory had run out left its queue to a reset, with requests in it.
It now tries again for 0.1 s.
- an accepted connection for which the poller had no memory was closed without an answer; it is offered again for a second.
- connect: a lack of local ports or memory (EADDRNOTAVAIL, EAGAIN, ENOBUFS) counted as a refusal by the endpoint and ejected it; it is reported as not sent.
An interrupted connect goes on by itself and is no failure.
- read and write: ENOBUFS and ENOMEM ended the connection, and with it an accepted request; they are repeated after 10 ms.
A short read was taken to be the last one, so that what was left waited for the next packet: TestReadsAndWritesSurviveFailures hung for 60 s with three of 39 bytes read.
Reads now go on to EAGAIN, one call more per event.
- sendmsg of a handover was not repeated after EINTR.

The announced start times of endpoints moved from discovery.Entry to the endpoints, since the configuration encodes the former.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -31,9 +31,6 @@
 	Lifecycle   string  `json:"lifecycle"`
 	Weight      float64 `json:"weight"`
 	StartedAtMs int64   `json:"startedAtMs"`
-
-	// AnnouncedStartMs is StartedAtMs as discovery gave it, where the receiver has converted that to a clock of its own.
-	AnnouncedStartMs int64 `json:"-"`
 }
 
 // Lifecycles of an endpoint.
--- a/internal/evloop/conn.go
+++ b/internal/evloop/conn.go
@@ -55,6 +55,7 @@
 
 	unsent           []byte // output that the kernel would not take yet
 	writable         bool
+	flushScheduled   bool
 	bytesSent        int   // that the kernel took
 	writeErr         error // of a failed write: unsent output is lost, and Closed follows
 	closeWriteWanted bool  // sending ends once unsent is empty
--- a/internal/evloop/conn_read.go
+++ b/internal/evloop/conn_read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -44,10 +45,12 @@
 
 // scheduleRead reads on in a turn after the sockets that are ready by then. A posted call would not do: the poller runs its
 // queue until that is empty, what is posted meanwhile included, so a flood would be read to its end first.
-func (c *Conn) scheduleRead() {
+func (c *Conn) scheduleRead() { c.scheduleReadAfter(0) }
+
+func (c *Conn) scheduleReadAfter(delay time.Duration) {
 	if !c.readScheduled {
 		c.readScheduled = true
-		c.loop.After(0, func() {
+		c.loop.After(delay, func() {
 			c.readScheduled = false
 			c.readTurn()
 		})
@@ -84,6 +87,9 @@
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
 			c.readable = false
+		case isTransient(err):
+			c.scheduleReadAfter(transientRetryDelay) // no edge comes for what is there already
+			return
 		case err != nil:
 			c.closeWithError(os.NewSyscallError("read", err))
 		case n == 0 && c.writeErr != nil: // no end: reads look so after a write that failed
@@ -92,11 +98,7 @@
 			c.peerEnded = true
 			c.handler.Ended()
 		default:
-			// A short read says that the kernel has no more, and what comes later is a new edge. It does not where an end
-			// may follow at once, nor where descriptors come, which end a read.
-			if n < len(buffer) && !c.hangup && !c.acceptsDescriptors {
-				c.readable = false
-			}
+			// A short read does not say that the kernel has no more: a signal may have ended it. Only EAGAIN does.
 			c.handler.Data(buffer[:n])
 		}
 	}
--- a/internal/evloop/conn_write.go
+++ b/internal/evloop/conn_write.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -52,7 +53,7 @@
 // send writes until the kernel takes no more.
 func (c *Conn) send(data []byte) (sent int, err error) {
 	for sent < len(data) {
-		n, err := unix.Write(c.fd, data[sent:])
+		n, err := c.loop.system.Write(c.fd, data[sent:])
 		switch {
 		case err == nil:
 			sent += n
@@ -61,6 +62,10 @@
 		case errors.Is(err, unix.EAGAIN):
 			c.writable = false
 			return sent, nil
+		case isTransient(err):
+			c.writable = false
+			c.scheduleFlush()
+			return sent, nil
 		default:
 			return sent, os.NewSyscallError("write", err)
 		}
@@ -68,6 +73,24 @@
 	return sent, nil
 }
 
+// transientRetryDelay is when a call is repeated for which the kernel had no memory.
+const transientRetryDelay = 10 * time.Millisecond
+
+// scheduleFlush sends what is pending later: the poller tells of room, but not of memory.
+func (c *Conn) scheduleFlush() {
+	if c.flushScheduled {
+		return
+	}
+	c.flushScheduled = true
+	c.loop.After(transientRetryDelay, func() {
+		c.flushScheduled = false
+		if !c.closed && c.writeErr == nil {
+			c.writable = true
+			c.flushTurn()
+		}
+	})
+}
+
 // flushTurn sends pending output after the kernel has made room, and tells the handler when all has gone.
 func (c *Conn) flushTurn() {
 	hadOutput := len(c.unsent) > 0
--- a/internal/evloop/descriptors.go
+++ b/internal/evloop/descriptors.go
@@ -1,6 +1,7 @@
 package evloop
 
 import (
+	"errors"
 	"os"
 
 	"golang.org/x/sys/unix"
@@ -24,6 +25,9 @@
 		return errOutputPending
 	}
 	n, err := unix.SendmsgN(c.fd, data, unix.UnixRights(descriptors...), nil, unix.MSG_DONTWAIT)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.SendmsgN(c.fd, data, unix.UnixRights(descriptors...), nil, unix.MSG_DONTWAIT)
+	}
 	if err != nil {
 		return os.NewSyscallError("sendmsg", err)
 	}
@@ -46,7 +50,7 @@
 // receive reads bytes, and descriptors where they are accepted.
 func (c *Conn) receive(buffer []byte) (int, error) {
 	if !c.acceptsDescriptors {
-		return unix.Read(c.fd, buffer)
+		return c.loop.system.Read(c.fd, buffer)
 	}
 	control := make([]byte, ControlBytes(maxDescriptorsPerRead))
 	n, controlBytes, _, _, err := unix.Recvmsg(c.fd, buffer, control, unix.MSG_CMSG_CLOEXEC|unix.MSG_DONTWAIT)
--- a/internal/evloop/dial.go
+++ b/internal/evloop/dial.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 
 	"github.com/panjf2000/gnet/v2/pkg/socket"
@@ -25,21 +24,24 @@
 // Dial starts a connection. It never blocks: the handler's Opened or Closed is called later. An error means that nothing was
 // started, as where no descriptor is left. The address must be numeric: a name would make the loop wait for a resolver.
 func (l *Loop) Dial(addr string, handler Handler) (*Conn, error) {
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil || net.ParseIP(host) == nil {
+	if !isNumericAddr(addr) {
 		return nil, fmt.Errorf("dial %q: not a numeric address and port", addr)
 	}
 	sockaddr, family, _, _, err := socket.GetTCPSockAddr("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, unix.IPPROTO_TCP)
+	fd, err := l.system.Socket(family)
 	if err != nil {
 		return nil, os.NewSyscallError("socket", err)
 	}
-	if err := unix.Connect(fd, sockaddr); err != nil && !errors.Is(err, unix.EINPROGRESS) {
+	if err := l.system.Connect(fd, sockaddr); err != nil && !isConnecting(err) {
 		_ = unix.Close(fd)
-		return nil, refusedError{os.NewSyscallError("connect", err)}
+		failure := os.NewSyscallError("connect", err)
+		if isLocalConnectError(err) {
+			return nil, failure
+		}
+		return nil, refusedError{failure}
 	}
 	conn := &Conn{loop: l, fd: fd, handler: handler, dialing: true}
 	if err := conn.register(); err != nil {
--- a/internal/evloop/listener.go
+++ b/internal/evloop/listener.go
@@ -17,8 +17,17 @@
 	// acceptRetryDelay is how long accepting pauses when descriptors or kernel memory have run out. Connections wait in the
 	// kernel's queue meanwhile.
 	acceptRetryDelay = 10 * time.Millisecond
+	// maxCloseAttempts is how often a queue is read at the end while descriptors or kernel memory have run out.
+	maxCloseAttempts = 10
+	// maxCloseBatches bounds what is accepted at the end in one turn: more than a queue holds.
+	maxCloseBatches = 512
 )
 
+// maxRegisterAttempts is how often an accepted connection is offered to the poller.
+const maxRegisterAttempts = 100
+
+var errNotRegistered = errors.New("the poller has no memory for the connection")
+
 // Listener accepts connections.
 type Listener struct {
 	// CanAccept reports whether one more connection may be accepted; nil: always.
@@ -33,6 +42,9 @@
 	acceptScheduled bool // a later turn accepts
 	queueHasMore    bool // that turn comes at once, since more connections may wait
 	paused          bool // another process accepts from the same queue
+	acceptFailed    bool // for a lack of descriptors or memory
+	closing         bool // it stops listening once the queue is empty
+	closeAttempts   int
 }
 
 // Listen accepts connections at addr and passes each to onAccept, which returns its handler. A failure to accept, such as a
@@ -107,9 +119,23 @@
 		return
 	}
 	listener.CanAccept = nil
-	for listener.acceptBatch() {
+	listener.closing = true
+	listener.closeTurn()
+}
+
+// closeTurn accepts what waits, and stops listening unless a lack of descriptors or memory has left something: a connection in the
+// queue would be reset, with a request in it maybe.
+func (listener *Listener) closeTurn() {
+	for range maxCloseBatches {
+		listener.acceptFailed = false
+		if !listener.acceptBatch() {
+			break
+		}
+	}
+	listener.closeAttempts++
+	if !listener.acceptFailed || listener.closeAttempts >= maxCloseAttempts {
+		listener.Detach()
 	}
-	listener.Detach()
 }
 
 func (listener *Listener) listening() bool { return listener.loop.listeners[listener.fd] == listener }
@@ -133,7 +159,11 @@
 			listener.queueHasMore = false
 			listener.loop.acceptsScheduled--
 		}
-		if listener.listening() {
+		switch {
+		case !listener.listening():
+		case listener.closing:
+			listener.closeTurn()
+		default:
 			listener.acceptTurn()
 		}
 	})
@@ -141,25 +171,33 @@
 
 // acceptBatch accepts up to maxAcceptsPerTurn connections and reports whether more may wait.
 func (listener *Listener) acceptBatch() (more bool) {
+	var connectionErr error // of the latest connection that was gone
 	for range maxAcceptsPerTurn {
 		if listener.CanAccept != nil && !listener.CanAccept() {
 			listener.scheduleAccept(acceptRetryDelay)
 			return false
 		}
-		fd, _, err := socket.Accept(listener.fd)
+		fd, _, err := listener.loop.system.Accept(listener.fd)
 		switch {
 		case err == nil:
+			connectionErr = nil
 			listener.serve(fd)
 		case errors.Is(err, unix.EAGAIN):
 			return false
-		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.ECONNRESET):
-			continue
+		case isAcceptedError(err):
+			connectionErr = err
 		default: // EMFILE, ENFILE, ENOBUFS, ENOMEM
+			listener.acceptFailed = true
 			listener.onError(err)
 			listener.scheduleAccept(acceptRetryDelay)
 			return false
 		}
 	}
+	if connectionErr != nil { // it goes on in this way, perhaps for ever
+		listener.onError(connectionErr)
+		listener.scheduleAccept(acceptRetryDelay)
+		return false
+	}
 	return true
 }
 
@@ -169,9 +207,19 @@
 	if conn.handler = listener.onAccept(conn); conn.closed {
 		return
 	}
-	if conn.register() != nil {
-		// Its handler may still close it, and by then the descriptor's number may be another connection's.
-		conn.closed = true
-		_ = unix.Close(fd)
+	conn.registerOrRetry(maxRegisterAttempts)
+}
+
+// registerOrRetry registers an accepted connection, later where the kernel has no memory for it now: it may have a request, which is
+// owed an answer.
+func (c *Conn) registerOrRetry(attempts int) {
+	if c.closed || c.register() == nil {
+		return
+	}
+	if attempts <= 1 {
+		c.closeWithError(errNotRegistered)
+		return
 	}
+	c.loop.conns[c.fd] = c // it still counts, and is found by nobody else
+	c.loop.After(acceptRetryDelay, func() { c.registerOrRetry(attempts - 1) })
 }
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -23,6 +23,7 @@
 // Loop is an event loop. All methods but Post and Stop must be called from the loop's own goroutine, or before Run. It keeps
 // its own descriptors for as long as the process lives.
 type Loop struct {
+	system    System
 	poller    *netpoll.Poller
 	conns     map[int]*Conn     // by descriptor
 	listeners map[int]*Listener // by descriptor
@@ -57,6 +58,7 @@
 		return nil, os.NewSyscallError("timerfd_create", err)
 	}
 	l := &Loop{
+		system:     DefaultSystem,
 		poller:     poller,
 		conns:      map[int]*Conn{},
 		listeners:  map[int]*Listener{},
--- a/internal/proxy/endpoint.go
+++ b/internal/proxy/endpoint.go
@@ -17,9 +17,10 @@
 	zone  string
 	entry discovery.Entry
 
-	listedBy      listMark
-	drainingSince time.Duration  // when it was first known to drain, or to be removed; 0: it takes requests
-	loadQuery     *loadQueryConn // nil: none is open
+	announcedStartMs int64 // its start as discovery gave it; that of entry is by the loop's clock
+	listedBy         listMark
+	drainingSince    time.Duration  // when it was first known to drain, or to be removed; 0: it takes requests
+	loadQuery        *loadQueryConn // nil: none is open
 
 	latency endpointLatency
 }
@@ -45,9 +46,9 @@
 type listMark int64
 
 // apply brings the table up to a list, or to changes of it.
-func (t endpointTable) apply(list discovery.List, kind balancer.ListKind, now time.Duration, mark listMark) {
+func (t endpointTable) apply(list *discovery.List, announced announcedStarts, kind balancer.ListKind, now time.Duration, mark listMark) {
 	for i := range list.Instances {
-		t.applyEntry(&list.Instances[i], now, mark)
+		t.applyEntry(&list.Instances[i], announced[i], now, mark)
 	}
 	if kind != balancer.DeltaList {
 		t.removeUnlisted(now, mark)
@@ -64,7 +65,7 @@
 	}
 }
 
-func (t endpointTable) applyEntry(entry *discovery.Entry, now time.Duration, mark listMark) {
+func (t endpointTable) applyEntry(entry *discovery.Entry, announcedStartMs int64, now time.Duration, mark listMark) {
 	e := t[entry.ID]
 	if e == nil {
 		e = &endpoint{id: entry.ID}
@@ -75,6 +76,7 @@
 	}
 	e.zone = entry.Zone
 	e.entry = *entry
+	e.announcedStartMs = announcedStartMs
 	e.listedBy = mark
 	e.entry.HostPort = e.addr
 	if entry.Lifecycle == discovery.InService {
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -40,19 +40,20 @@
 	p.loop.NameTurn(turnEndpointList)
 	p.log.Info("endpoint list", zap.Int64("generation", list.Generation), zap.Bool("whole", kind != balancer.DeltaList),
 		zap.Int("entries", len(list.Instances)))
-	p.startTimes.convert(&list, p.endpoints, p.loop.Now())
-	p.updateEndpoints(list, kind)
+	p.updateEndpoints(&list, kind)
 	p.pools.applyList(&list, kind)
 }
 
-func (p *Proxy) updateEndpoints(list discovery.List, kind balancer.ListKind) {
+// updateEndpoints brings the table of endpoints up to a list, and the list's start times to the loop's clock.
+func (p *Proxy) updateEndpoints(list *discovery.List, kind balancer.ListKind) {
 	if kind == balancer.DeltaList {
 		p.counters.DeltaLists++
 	} else {
 		p.counters.FullLists++
 	}
 	mark := listMark(p.counters.DeltaLists + p.counters.FullLists)
-	p.endpoints.apply(list, kind, p.loop.Now(), mark)
+	announced := p.startTimes.convert(list, p.endpoints, p.loop.Now())
+	p.endpoints.apply(list, announced, kind, p.loop.Now(), mark)
 }
 
 // onListFailure reports a failed call for the list to the lead pool's balancer, which alone asks again.
--- a/internal/proxy/hotrestart_state.go
+++ b/internal/proxy/hotrestart_state.go
@@ -81,7 +81,7 @@
 	}
 	for _, e := range p.endpoints {
 		entry := e.entry
-		entry.StartedAtMs = entry.AnnouncedStartMs // the successor converts it by its own clock
+		entry.StartedAtMs = e.announcedStartMs // the successor converts it by its own clock
 		list.Instances = append(list.Instances, entry)
 	}
 	state := handoverState{
@@ -134,8 +134,7 @@
 	if state.Discovery != p.discoveryClient.Addr {
 		p.discoveryClient.Generation = 0 // generations of different sources do not compare
 	}
-	p.startTimes.convert(&list, p.endpoints, p.loop.Now())
-	p.updateEndpoints(list, balancer.CachedList)
+	p.updateEndpoints(&list, balancer.CachedList)
 	p.pools.owners.RestoreReservations(state.Reserved)
 	updates := p.pools.owners.ApplyList(p.loop.Now(), balancer.CachedList, list.Generation, list.Entries())
 	divided := len(state.Pools) > 0 // else the only pool's state has the whole list already
--- a/internal/proxy/start_times.go
+++ b/internal/proxy/start_times.go
@@ -41,19 +41,24 @@
 	}
 }
 
-// convert replaces the start times of a list by those of the loop's clock. An endpoint that is known by the same announced time
-// keeps the one that was found for it, so that a step of the clock restarts no endpoint.
-func (s *startTimes) convert(list *discovery.List, known endpointTable, now time.Duration) {
+// announcedStarts are the start times of a list's entries as discovery gave them, in milliseconds of Unix time.
+type announcedStarts []int64
+
+// convert replaces the start times of a list by those of the loop's clock, and returns what was announced. An endpoint that is known
+// by the same announced time keeps the one that was found for it, so that a step of the clock restarts no endpoint.
+func (s *startTimes) convert(list *discovery.List, known endpointTable, now time.Duration) announcedStarts {
 	s.observe(now)
+	announced := make(announcedStarts, len(list.Instances))
 	for i := range list.Instances {
 		entry := &list.Instances[i]
-		entry.AnnouncedStartMs = entry.StartedAtMs
-		if e := known[entry.ID]; e != nil && e.entry.AnnouncedStartMs == entry.StartedAtMs {
+		announced[i] = entry.StartedAtMs
+		if e := known[entry.ID]; e != nil && e.announcedStartMs == entry.StartedAtMs {
 			entry.StartedAtMs = e.entry.StartedAtMs
 		} else {
 			entry.StartedAtMs = s.startedAt(entry.StartedAtMs, now)
 		}
 	}
+	return announced
 }
 
 // startedAt converts an announced start. Whether the endpoint has started before a step or after it is not known, so the latest time
