--- a/cmd/micafront/main_test.go
+++ b/cmd/micafront/main_test.go
@@ -2,16 +2,27 @@
 
 import (
 	"bytes"
+	"fmt"
+	"os"
 	"strings"
 	"testing"
 
+	"example.org/micafront/internal/testing/soak"
 	"example.org/micafront/internal/testing/testkit"
 )
 
 const childEnv = "MICAFRONT_TEST_CHILD"
 
 // TestMain lets the test binary be the real program when it is started as such.
-func TestMain(m *testing.M) { testkit.RunTestsOrProgram(m, childEnv, main) }
+func TestMain(m *testing.M) {
+	testkit.RunTestsOrProgram(m, childEnv, func() {
+		if err := soak.InstallFaults(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailed)
+		}
+		main()
+	})
+}
 
 const completeSettings = `{"Balancers":1,"Discovery":"subscribe","Categories":[{"Name":"feed","Aim":1,"GiveUp":2,"Credit":1,"Effect":"safe"}],
 	"Limits":{"AttemptsCap":1,"ConnectTimeout":1,"MaxOpen":1,"MaxRetryAfter":1},
--- /dev/null
+++ b/cmd/micafront/soak_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"example.org/micafront/internal/testing/soak"
+)
+
+// soakSeeds are the seeds that TestSoak plays: go test ./cmd/micafront -run TestSoak -soak.seeds 1-50
+var soakSeeds = flag.String("soak.seeds", "1-4", "the seeds of TestSoak, from-to")
+
+// TestSoak plays seeded runs of real processes under mixed faults: no rule is broken in any.
+func TestSoak(t *testing.T) {
+	var from, to uint64
+	if _, err := fmt.Sscanf(*soakSeeds, "%d-%d", &from, &to); err != nil || from > to {
+		t.Fatalf("-soak.seeds %q: want two numbers such as 1-50", *soakSeeds)
+	}
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			report, err := soak.Run(context.Background(), soak.Options{
+				Plan: soak.NewPlan(seed),
+				Dir:  t.TempDir(),
+				Program: func() *exec.Cmd {
+					command := exec.Command(os.Args[0])
+					command.Env = append(os.Environ(), childEnv+"=1")
+					return command
+				},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%v: answers %v, %d requests attempted", report.Plan, report.Answers, report.Attempts)
+			for _, violation := range report.Violations {
+				t.Error(violation)
+			}
+			if report.Answers["UP"] == 0 {
+				t.Error("no request was served")
+			}
+			for name, log := range report.Logs {
+				if t.Failed() {
+					lines := strings.Split(strings.TrimSpace(log), "\n")
+					t.Logf("%s, the end of its log:\n%s", name, strings.Join(lines[max(len(lines)-12, 0):], "\n"))
+				}
+			}
+		})
+	}
+}
--- a/internal/evloop/loop.go
+++ b/internal/evloop/loop.go
@@ -66,7 +66,7 @@
 		startedAt:  time.Now(),
 		readBuffer: make([]byte, readBufferBytes),
 	}
-	l.startUnix = time.Duration(l.startedAt.UnixNano()).Truncate(time.Microsecond)
+	l.startUnix = time.Duration(l.system.WallClock().UnixNano()).Truncate(time.Microsecond)
 	l.updateClock()
 	return l, poller.AddRead(&netpoll.PollAttachment{FD: fd}, false)
 }
@@ -112,6 +112,9 @@
 // Now is the time of this turn: Unix time at the start plus monotonic time, in whole microseconds.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// WallClock is the time that the host's clock shows now. It may jump; deadlines and waits go by Now.
+func (l *Loop) WallClock() time.Time { return l.system.WallClock() }
+
 // ConnCount is how many connections the loop has, those that are still dialing included.
 func (l *Loop) ConnCount() int { return len(l.conns) }
 
--- a/internal/evloop/system.go
+++ b/internal/evloop/system.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"time"
 
 	"github.com/panjf2000/gnet/v2/pkg/socket"
 	"golang.org/x/sys/unix"
@@ -15,6 +16,8 @@
 	Connect func(fd int, addr unix.Sockaddr) error
 	Read    func(fd int, buffer []byte) (int, error)
 	Write   func(fd int, data []byte) (int, error)
+	// WallClock may be set by seconds or hours at any time. The loop reads it once, at its start.
+	WallClock func() time.Time
 }
 
 // DefaultSystem is what new loops use: Linux itself, unless a test has replaced it before.
@@ -26,6 +29,8 @@
 	Connect: unix.Connect,
 	Read:    unix.Read,
 	Write:   unix.Write,
+
+	WallClock: time.Now,
 }
 
 // isTransient reports whether a call on a socket that is up may succeed soon: the kernel had no memory for it (ENOBUFS, ENOMEM).
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -114,7 +114,7 @@
 		sessions:       newSessionTable(),
 		endpoints:      endpointTable{},
 		latency:        newLatencyTracker(),
-		startTimes:     newStartTimes(),
+		startTimes:     newStartTimes(loop.WallClock),
 	}
 	p.turns = turnObserver{log: log, endpoints: p.endpoints}
 	loop.Observe(&p.turns)
--- a/internal/proxy/start_times.go
+++ b/internal/proxy/start_times.go
@@ -26,8 +26,8 @@
 	offsets []time.Duration
 }
 
-func newStartTimes() startTimes {
-	return startTimes{wallClock: time.Now, offsets: []time.Duration{0}}
+func newStartTimes(wallClock func() time.Time) startTimes {
+	return startTimes{wallClock: wallClock, offsets: []time.Duration{0}}
 }
 
 // observe notes whether the wall clock has been set.
--- /dev/null
+++ b/internal/testing/soak/endpoints.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"example.org/micafront/internal/fakes"
+)
+
+// endpointBehavior is what the endpoints of a listener do with a request.
+type endpointBehavior int
+
+const (
+	behaviorNormal endpointBehavior = iota
+	behaviorSlow
+	behaviorHang
+	behaviorReset
+	behaviorBusy
+	behaviorError
+	behaviorRefuse
+	behaviorCount
+)
+
+// String names a behavior.
+func (b endpointBehavior) String() string {
+	return [...]string{"normal", "slow", "hang", "reset", "busy", "error", "refuse"}[b]
+}
+
+const slowAnswer = 120 * time.Millisecond
+
+// attemptRecord is one attempt as an endpoint saw it.
+type attemptRecord struct {
+	request string // its id
+	at      time.Time
+}
+
+// endpoints plays all endpoints of a run on a few listeners.
+type endpoints struct {
+	listeners []net.Listener
+
+	mu       sync.Mutex
+	attempts []attemptRecord
+	ended    map[string]bool // requests whose connection an endpoint has ended
+}
+
+func startEndpoints(behaviors []endpointBehavior) (*endpoints, error) {
+	e := &endpoints{ended: map[string]bool{}}
+	for _, behavior := range behaviors {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			e.close()
+			return nil, err
+		}
+		e.listeners = append(e.listeners, listener)
+		if behavior == behaviorRefuse {
+			_ = listener.Close()
+			continue
+		}
+		go e.accept(listener, behavior)
+	}
+	return e, nil
+}
+
+func (e *endpoints) close() {
+	for _, listener := range e.listeners {
+		_ = listener.Close()
+	}
+}
+
+// entry is an entry of the endpoint list.
+func (e *endpoints) entry(number int, lifecycle string, startedAt time.Time) fakes.Entry {
+	return fakes.Entry{
+		ID:        fmt.Sprintf("s-%05d", number),
+		Addr:      e.listeners[number%len(e.listeners)].Addr().String(),
+		Zone:      string(rune('a' + number/len(e.listeners)%3)),
+		Lifecycle: lifecycle,
+		StartedAt: startedAt,
+	}
+}
+
+func (e *endpoints) accept(listener net.Listener, behavior endpointBehavior) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(conn, behavior)
+	}
+}
+
+func (e *endpoints) serve(conn net.Conn, behavior endpointBehavior) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	line, err := reader.ReadString('\n')
+	fields := strings.Fields(line)
+	if err != nil || len(fields) < 2 {
+		return
+	}
+	id := fields[1]
+	e.mu.Lock()
+	e.attempts = append(e.attempts, attemptRecord{id, time.Now()})
+	e.mu.Unlock()
+	answer := "UP r\r\n"
+	switch behavior {
+	case behaviorSlow:
+		time.Sleep(slowAnswer)
+	case behaviorHang:
+		_, _ = reader.ReadString('\n')
+		return
+	case behaviorReset:
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return
+	case behaviorBusy:
+		answer = "BUSY\r\n"
+	case behaviorError:
+		answer = "ERR\r\n"
+	}
+	_, _ = conn.Write([]byte(answer))
+	if answer != "UP r\r\n" {
+		return
+	}
+	for {
+		message, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte(message))
+	}
+}
+
+// attemptsByRequest returns when the attempts for each request came.
+func (e *endpoints) attemptsByRequest() map[string][]time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	byRequest := map[string][]time.Time{}
+	for _, attempt := range e.attempts {
+		byRequest[attempt.request] = append(byRequest[attempt.request], attempt.at)
+	}
+	return byRequest
+}
