Compare what processes need with 200 and with 3,200 endpoints, side by side

The standing test bounds processor time, memory, descriptors, connections, list bytes and the served share at 16 times the endpoints. The soak sets a part of a release in one change of the list, as service discovery does.

--- a/cmd/micafront/soak_test.go
+++ b/cmd/micafront/soak_test.go
@@ -24,15 +24,8 @@
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			report, err := soak.Run(context.Background(), soak.Options{
-				Plan: soak.NewPlan(seed),
-				Dir:  t.TempDir(),
-				Program: func() *exec.Cmd {
-					command := exec.Command(os.Args[0])
-					command.Env = append(os.Environ(), childEnv+"=1")
-					return command
-				},
-			})
+			options := soak.Options{Plan: soak.NewPlan(seed), Dir: t.TempDir(), Program: childProgram}
+			report, err := soak.Run(context.Background(), options)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -52,3 +45,28 @@
 		})
 	}
 }
+
+// costProcesses is how many processes TestCostBounds runs with each size of the list.
+var costProcesses = flag.Int("costs.processes", 6, "the processes of TestCostBounds with each size of the list")
+
+// TestCostBounds runs processes with lists of 200 and of 3,200 endpoints side by side and compares what they need.
+func TestCostBounds(t *testing.T) {
+	bounds, err := soak.CompareCosts(context.Background(), t.TempDir(), *costProcesses, childProgram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log("| in the mean of a process | 200 | 3,200 | bound |")
+	for _, bound := range bounds {
+		t.Log(bound)
+		if !bound.Kept() {
+			t.Errorf("%s: not kept", bound.Name)
+		}
+	}
+}
+
+// childProgram is this binary as the program.
+func childProgram() *exec.Cmd {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), childEnv+"=1")
+	return command
+}
--- a/internal/fakes/discovery_server.go
+++ b/internal/fakes/discovery_server.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,8 +29,13 @@
 	entries    map[string]Entry // by id
 	changes    []change         // all since the start, the oldest first
 	changed    chan struct{}    // closed, and replaced, at each change
+
+	bytesSent atomic.Int64 // of lists, to watches
 }
 
+// BytesSent is how many bytes of lists watches were sent.
+func (s *DiscoveryServer) BytesSent() int64 { return s.bytesSent.Load() }
+
 // change is one change of the list and the generation that it made.
 type change struct {
 	generation int
@@ -56,15 +62,17 @@
 // Close stops the server and its watches.
 func (s *DiscoveryServer) Close() { _ = s.server.Close() } // there is nothing to do where closing fails
 
-// Set adds or changes an entry; the lifecycle "terminated" removes it.
-func (s *DiscoveryServer) Set(e Entry) {
+// Set adds or changes entries in one change of the list; the lifecycle "terminated" removes one.
+func (s *DiscoveryServer) Set(entries ...Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.generation++
-	s.changes = append(s.changes, change{generation: s.generation, entry: e})
-	s.entries[e.ID] = e
-	if e.Lifecycle == lifecycleTerminated {
-		delete(s.entries, e.ID)
+	for _, e := range entries {
+		s.changes = append(s.changes, change{generation: s.generation, entry: e})
+		s.entries[e.ID] = e
+		if e.Lifecycle == lifecycleTerminated {
+			delete(s.entries, e.ID)
+		}
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -112,9 +120,11 @@
 		changed := s.changed
 		from = s.generation
 		s.mu.Unlock()
-		if _, err := fmt.Fprintln(w, text); err != nil {
+		n, err := fmt.Fprintln(w, text)
+		if err != nil {
 			return
 		}
+		s.bytesSent.Add(int64(n))
 		flush(w)
 		select {
 		case <-changed:
--- a/internal/testing/soak/endpoints.go
+++ b/internal/testing/soak/endpoints.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/micafront/internal/fakes"
@@ -41,6 +42,7 @@
 // endpoints plays all endpoints of a run on a few listeners.
 type endpoints struct {
 	listeners []net.Listener
+	accepted  atomic.Int64 // connections
 
 	mu       sync.Mutex
 	attempts []attemptRecord
@@ -82,12 +84,22 @@
 	}
 }
 
+// entries are count entries from a number on.
+func (e *endpoints) entries(first, count int, lifecycle string, startedAt time.Time) []fakes.Entry {
+	entries := make([]fakes.Entry, 0, count)
+	for i := first; i < first+count; i++ {
+		entries = append(entries, e.entry(i, lifecycle, startedAt))
+	}
+	return entries
+}
+
 func (e *endpoints) accept(listener net.Listener, behavior endpointBehavior) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
+		e.accepted.Add(1)
 		go e.serve(conn, behavior)
 	}
 }
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -41,8 +41,8 @@
 	clockFile string
 }
 
-// Run plays a plan. The error says that it could not be played.
-func Run(ctx context.Context, options Options) (*Report, error) {
+// newRun starts the endpoints and service discovery of a run.
+func newRun(options Options) (*run, error) {
 	r := &run{
 		Options:   options,
 		random:    rand.New(rand.NewPCG(options.Plan.Seed, 3)),
@@ -53,16 +53,28 @@
 	if r.endpoints, err = startEndpoints(options.Plan.Endings); err != nil {
 		return nil, err
 	}
-	defer r.endpoints.close()
 	if r.discovery, err = fakes.NewDiscoveryServer(); err != nil {
+		r.endpoints.close()
 		return nil, err
 	}
-	defer r.discovery.Close()
-	for i := range options.Plan.Endpoints {
-		r.discovery.Set(r.endpoints.entry(i, "in_service", time.Time{}))
+	r.discovery.Set(r.endpoints.entries(0, options.Plan.Endpoints, "in_service", time.Time{})...)
+	return r, nil
+}
+
+// Run plays a plan. The error says that it could not be played.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	r, err := newRun(options)
+	if err != nil {
+		return nil, err
 	}
+	defer r.endpoints.close()
+	defer r.discovery.Close()
 	for i := range proxyCount {
-		if err := r.startProxy(i); err != nil {
+		p, err := r.addProxy(i)
+		if err == nil {
+			err = p.start()
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -116,16 +128,12 @@
 			if !pause(ctx, releaseStep) {
 				return
 			}
-			for i := first; i < first+part; i++ {
-				r.discovery.Set(r.endpoints.entry(i, lifecycle, time.Time{}))
-			}
+			r.discovery.Set(r.endpoints.entries(first, part, lifecycle, time.Time{})...)
 		}
 		if !pause(ctx, releaseStep) {
 			return
 		}
-		for i := first; i < first+part; i++ {
-			r.discovery.Set(r.endpoints.entry(r.Plan.Endpoints+i, "in_service", time.Now().Add(r.Plan.Clock)))
-		}
+		r.discovery.Set(r.endpoints.entries(r.Plan.Endpoints+first, part, "in_service", time.Now().Add(r.Plan.Clock))...)
 	}
 }
 
@@ -188,11 +196,11 @@
 	stopping.Wait()
 }
 
-// startProxy starts the i-th proxy.
-func (r *run) startProxy(i int) error {
+// addProxy writes the configuration of the i-th proxy, which it does not start.
+func (r *run) addProxy(i int) (*proxy, error) {
 	p := &proxy{name: fmt.Sprint("proxy", i), configPath: filepath.Join(r.Dir, fmt.Sprintf("proxy%d.json", i))}
 	if err := os.WriteFile(p.configPath, []byte(r.config(p.name)), 0o600); err != nil {
-		return err
+		return nil, err
 	}
 	seed := r.random.Uint64()
 	p.newCommand = func() *exec.Cmd {
@@ -204,7 +212,7 @@
 		return command
 	}
 	r.proxies = append(r.proxies, p)
-	return p.start()
+	return p, nil
 }
 
 // config is a proxy's configuration. Its known list is the one of the run's beginning.
