--- a/cmd/micafront/soak_test.go
+++ b/cmd/micafront/soak_test.go
@@ -51,12 +51,16 @@
 
 // TestCostBounds runs processes with lists of 200 and of 3,200 endpoints side by side and compares what they need.
 func TestCostBounds(t *testing.T) {
-	bounds, err := soak.CompareCosts(context.Background(), t.TempDir(), *costProcesses, childProgram)
+	comparison, err := soak.CompareCosts(context.Background(), t.TempDir(), *costProcesses, childProgram)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Log("| in the mean of a process | 200 | 3,200 | bound |")
-	for _, bound := range bounds {
+	t.Logf("longest wait for an answer with 3,200 endpoints: %v", comparison.LongestWait)
+	for _, violation := range comparison.Violations {
+		t.Error(violation)
+	}
+	for _, bound := range comparison.Bounds {
 		t.Log(bound)
 		if !bound.Kept() {
 			t.Errorf("%s: not kept", bound.Name)
--- a/internal/testing/soak/clients.go
+++ b/internal/testing/soak/clients.go
@@ -48,6 +48,7 @@
 	random     *rand.Rand
 	requests   []request
 	answers    map[string]int // by their first word
+	longest    time.Duration  // wait for an answer
 	violations []string
 }
 
@@ -152,6 +153,9 @@
 	}
 	if err == nil {
 		c.count(strings.Fields(line + " -")[0])
+		c.mu.Lock()
+		c.longest = max(c.longest, arrived.Sub(r.sentAt))
+		c.mu.Unlock()
 	}
 	return reader, err == nil && strings.HasPrefix(line, "UP ")
 }
--- a/internal/testing/soak/costs.go
+++ b/internal/testing/soak/costs.go
@@ -55,9 +55,16 @@
 	return fmt.Sprintf("| %s | %.3f | %.3f | %.3f |", b.Name, b.Usual, b.Many, b.Factor*b.Usual+b.Extra)
 }
 
+// Comparison is what CompareCosts has found.
+type Comparison struct {
+	Bounds      []Bound
+	Violations  []string      // of the rules for requests
+	LongestWait time.Duration // for an answer, with manyEndpoints
+}
+
 // CompareCosts runs two groups of processes side by side, with the same traffic and the same share of their lists replaced, and
 // returns the bounds that operators set (the page of the standing test).
-func CompareCosts(ctx context.Context, dir string, processes int, program func() *exec.Cmd) ([]Bound, error) {
+func CompareCosts(ctx context.Context, dir string, processes int, program func() *exec.Cmd) (*Comparison, error) {
 	usual, many := &costGroup{endpointCount: usualEndpoints}, &costGroup{endpointCount: manyEndpoints}
 	groups := []*costGroup{usual, many}
 	for i, group := range groups {
@@ -78,13 +85,18 @@
 	playing.Wait()
 	a, b := usual.costs(), many.costs()
 	const thousands = manyEndpoints / 1000.0
-	return []Bound{
+	bounds := []Bound{
 		{Name: "processor time, s", Usual: a.CPU.Seconds(), Many: b.CPU.Seconds(), Factor: 1.4, Extra: 0.02 + 0.03*thousands},
 		{Name: "peak memory, MB", Usual: a.Memory / megabyte, Many: b.Memory / megabyte, Factor: 1.5, Extra: 8 + 4*thousands},
 		{Name: "descriptors", Usual: a.Descriptors, Many: b.Descriptors, Factor: 2, Extra: 40},
 		{Name: "connections to endpoints", Usual: a.Connections, Many: b.Connections, Factor: 2.5, Extra: 40},
 		{Name: "list bytes, KB", Usual: a.ListBytes / 1000, Many: b.ListBytes / 1000, Factor: 2, Extra: 64 + 500*thousands},
 		{Name: "share served", Usual: a.Served, Many: b.Served, Factor: 0.85, Least: true},
+	}
+	return &Comparison{
+		Bounds:      bounds,
+		Violations:  slices.Concat(usual.run.clients.violations, many.run.clients.violations),
+		LongestWait: many.run.clients.longest,
 	}, nil
 }
 
