Bound the time to catch up after a hold-up, and decode lists whose short members come last

Found on reading the incident's changes once more: a host that holds the loop up again and again could have put off attempts for ever (each hold-up began the rounds anew); catching up now takes 0.1 s at most, and the checks of client and deadline at the dial and the write stay. A client is looked at once more where the first line is written a turn after the connection came up. Lists whose generation or reset follows the entries are decoded as they come too.

--- a/balancer/slot_table_model_test.go
+++ b/balancer/slot_table_model_test.go
@@ -1,11 +1,11 @@
 package balancer
 
 import (
-	"fmt"
 	"math"
 	"testing"
 
 	"example.org/micafront/balancer/hashing"
+	"example.org/micafront/internal/testing/testkit"
 	"pgregory.net/rapid"
 )
 
@@ -24,7 +24,7 @@
 // TestOwnersFollowFromTheListAlone drives a Balancer through random lists, each slot looked up at random times, and compares its
 // table with one that is computed from the list.
 func TestOwnersFollowFromTheListAlone(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
+	testkit.Property(t, func(rt *rapid.T) {
 		b, err := New(testSettings(), 1)
 		if err != nil {
 			rt.Fatal(err)
@@ -103,7 +103,7 @@
 	parts.Handle(120*sec, Timer{}) // the history is forgotten by now
 	for k := range 2000 {
 		if want, got := whole.fleetTable.lookup(hashing.Mix64(uint64(k))).id, parts.fleetTable.lookup(hashing.Mix64(uint64(k))).id; want != got {
-			t.Fatal(fmt.Sprintf("key %d is at %s, at %s where the list came in parts", k, want, got))
+			t.Fatalf("key %d is at %s, at %s where the list came in parts", k, want, got)
 		}
 	}
 }
--- a/internal/discovery/entry_decoder.go
+++ b/internal/discovery/entry_decoder.go
@@ -1,15 +1,18 @@
 package discovery
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+)
 
 // entryDecoder decodes the entries of a list's object while its bytes come, so that the work of a large list is spread over the
 // turns in which it is read. It knows the form that discovery writes, {"generation":N,"reset":B,"instances":[...]} with any white
-// space, and gives up at any other: the whole object is then decoded at once, which also finds what is wrong with it. The zero
-// value is ready for use.
+// space and its short members in any place, and gives up at any other: the whole object is then decoded at once, which also finds
+// what is wrong with it. The zero value is ready for use.
 type entryDecoder struct {
 	position int // of the next byte that is not decoded
 	stage    decodeStage
-	header   List    // what precedes the entries
+	header   int     // how many bytes precede the member of entries
 	entries  []Entry // decoded so far
 }
 
@@ -54,16 +57,19 @@
 // list returns the list once text, the whole object, has been decoded; false where it has to be decoded in another way.
 func (d *entryDecoder) list(text []byte) (List, bool) {
 	d.advance(text)
-	if d.stage != amongEntries {
+	if d.stage != amongEntries || len(d.entries) == 0 {
 		return List{}, false
 	}
-	if rest := bytes.TrimLeft(text[d.position:], whitespace); len(rest) == 0 || rest[0] != ']' || len(d.entries) == 0 {
+	rest := bytes.TrimLeft(text[d.position:], whitespace)
+	if len(rest) == 0 || rest[0] != ']' || len(rest) > maxHeaderBytes {
 		return List{}, false
-	} else if rest = bytes.TrimLeft(rest[1:], whitespace); len(rest) == 0 || rest[0] != '}' || len(bytes.TrimLeft(rest[1:], whitespace)) > 0 {
+	}
+	// What is left is a short object with an empty list.
+	var list List
+	if namesEntries(rest) || list.decode(slices.Concat(text[:d.header], instancesMember, []byte(":["), rest)) != nil {
 		return List{}, false
 	}
 	d.stage = afterEntries
-	list := d.header
 	list.Instances = d.entries
 	return list, true
 }
@@ -87,15 +93,21 @@
 		return
 	}
 	// A header that is no object with an empty list at its end is of another form, such as one with the member in a string.
-	header := append(bytes.Clone(text[:start]), `"instances":[]}`...)
-	if d.header.decode(header) != nil {
+	var header List
+	if namesEntries(text[:start]) || header.decode(slices.Concat(text[:start], instancesMember, []byte(":[]}"))) != nil {
 		d.stage = givenUp
 		return
 	}
 	d.stage = amongEntries
+	d.header = start
 	d.position = start + len(instancesMember) + open + 1
 }
 
+// namesEntries reports whether a text may name the entries again, in any case of letters: such an object is of another form.
+func namesEntries(text []byte) bool {
+	return bytes.Contains(bytes.ToLower(text), []byte("instances"))
+}
+
 // readEntry decodes an entry with what precedes it.
 func (d *entryDecoder) readEntry(text []byte) {
 	text = bytes.TrimLeft(text, whitespace)
--- a/internal/discovery/entry_decoder_test.go
+++ b/internal/discovery/entry_decoder_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"example.org/micafront/internal/testing/testkit"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
@@ -12,7 +13,7 @@
 // TestEntriesInPiecesAreThoseOfTheWhole decodes objects of the known form and of others, in any pieces: where the entries are
 // decoded as they come, the list is that of the whole text.
 func TestEntriesInPiecesAreThoseOfTheWhole(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
+	testkit.Property(t, func(rt *rapid.T) {
 		blank := rapid.SampledFrom([]string{"", "", " ", "\n  ", "\t"})
 		member := rapid.SampledFrom([]string{
 			`"instanceId":"s-1"`, `"instanceId":"s\"}]-2"`, `"INSTANCEID":"s-3"`, `"zone":"\u00e9\\"`, `"cell":3`, `"weight":1.5`,
@@ -24,9 +25,9 @@
 			entries = append(entries, blank.Draw(rt, "before")+"{"+blank.Draw(rt, "in")+strings.Join(members, ",")+"}"+blank.Draw(rt, "after"))
 		}
 		header := rapid.SampledFrom([]string{
-			`{"generation":4,"reset":true,`, `{ "generation" : 4 , `, `{`, `{"x":"\"instances\":[{",`, `{"x":{"instances":[{}]},`, `{"generation":"four",`,
+			`{"generation":4,"reset":true,`, `{ "generation" : 4 , `, `{`, `{"x":"\"instances\":[{",`, `{"INSTANCES":[{"cell":7}],`, `{"x":{"instances":[{}]},`, `{"generation":"four",`,
 		}).Draw(rt, "header")
-		tail := rapid.SampledFrom([]string{`]}`, "] \n }", `],"generation":9}`, `]`, `]}}`, "]}\x00"}).Draw(rt, "tail")
+		tail := rapid.SampledFrom([]string{`]}`, "] \n }", `],"generation":9}`, `],"instances":[]}`, `],"instances":[{"cell":1}],"reset":true}`, `]`, `]}}`, "]}\x00"}).Draw(rt, "tail")
 		text := []byte(header + `"instances"` + blank.Draw(rt, "colon") + ":" + blank.Draw(rt, "bracket") + "[" + strings.Join(entries, ",") + tail)
 		var decoder entryDecoder
 		for end := 0; end < len(text); end += rapid.IntRange(1, 40).Draw(rt, "piece") {
--- a/internal/evloop/holdup.go
+++ b/internal/evloop/holdup.go
@@ -19,8 +19,10 @@
 	// catchUpRounds is for how many turns of the timer nothing must wait in the accept queues. A timer that is set in one turn
 	// comes behind all that was ready by its end.
 	catchUpRounds = 2
-	// maxCatchUpRounds bounds the turns that are waited for: a flood of connections must not keep requests waiting.
+	// maxCatchUpRounds and maxCatchUpTime bound what is waited for: neither a flood of connections nor a host that holds the loop up
+	// again and again may keep requests waiting.
 	maxCatchUpRounds = 256
+	maxCatchUpTime   = 100 * time.Millisecond
 	// deferredCallsPerTurn bounds how many calls that waited one turn makes.
 	deferredCallsPerTurn = 8
 	// minDataAge is the least age of received bytes that is believed: the kernel counts it in ticks of up to 10 ms.
@@ -30,6 +32,7 @@
 // holdUp is the state of a loop that was held up. The zero value was not.
 type holdUp struct {
 	since      time.Duration // from when on nothing was attended to; 0: the loop is not held up
+	notedAt    time.Duration // when that was found
 	rounds     int           // that are left without an accept queue
 	maxRounds  int           // that are left at most
 	deferred   []func()      // calls that wait, in order
@@ -53,6 +56,7 @@
 func (l *Loop) noteHoldUp(since time.Duration) {
 	if l.holdUp.since == 0 {
 		l.holdUp.since = since
+		l.holdUp.notedAt = l.clock() // l.now may be the beginning of a long turn
 		l.holdUp.maxRounds = maxCatchUpRounds
 	}
 	l.holdUp.rounds = catchUpRounds
@@ -87,7 +91,7 @@
 	} else {
 		h.rounds--
 	}
-	if h.since != 0 && h.rounds > 0 && h.maxRounds > 0 {
+	if h.since != 0 && h.rounds > 0 && h.maxRounds > 0 && l.now-h.notedAt < maxCatchUpTime {
 		l.scheduleCatchUp()
 		return
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -199,6 +199,9 @@
 // writeRequest writes the first message.
 func (a *attempt) writeRequest() {
 	p := a.session.proxy
+	if downstream := a.session.downstream; downstream != nil {
+		downstream.CheckPeer() // it may have disconnected since the turn before
+	}
 	remaining := a.deadline - p.loop.Now()
 	switch {
 	case a.stage != stageWriting:
