--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -49,14 +49,20 @@
 	case remaining <= b.settings.Rules.AnswerSlack:
 		b.rejectOrFail(req, NoTimeLeft)
 	default:
-		endpoint := b.selectEndpoint(req)
-		if endpoint != nil {
-			b.startAttempt(req, endpoint, remaining)
-		} else if req.admissionDenied {
-			b.rejectOrFail(req, NotAdmitted)
-		} else {
-			b.rejectOrFail(req, NoUsableEndpoint)
-		}
+		b.attemptSelected(req, remaining)
+	}
+}
+
+// attemptSelected sends an attempt to the endpoint that is selected for it, or answers where there is none.
+func (b *Balancer) attemptSelected(req *request, remaining time.Duration) {
+	endpoint := b.selectEndpoint(req)
+	switch {
+	case endpoint != nil:
+		b.startAttempt(req, endpoint, remaining)
+	case req.admissionDenied:
+		b.rejectOrFail(req, NotAdmitted)
+	default:
+		b.rejectOrFail(req, NoUsableEndpoint)
 	}
 }
 
--- a/balancer/ready_list.go
+++ b/balancer/ready_list.go
@@ -33,7 +33,7 @@
 	if len(l.changed) == 0 {
 		return l.endpoints
 	}
-	stayed := make([]*endpointState, 0, len(l.endpoints)+len(l.changed))
+	stayed := make([]*endpointState, 0, len(l.endpoints))
 	for _, endpoint := range l.endpoints {
 		if endpoint.phase == Ready {
 			stayed = append(stayed, endpoint)
@@ -56,20 +56,19 @@
 
 func compareIDs(x, y *endpointState) int { return cmp.Compare(x.id, y.id) }
 
-// mergeByID merges two lists, each in the order of IDs. The first one's memory is reused.
-func mergeByID(long, short []*endpointState) []*endpointState {
-	i, j := len(long)-1, len(short)-1
-	merged := append(long, short...)
-	for k := len(merged) - 1; j >= 0; k-- {
-		if i >= 0 && compareIDs(long[i], short[j]) > 0 {
-			merged[k] = long[i]
-			i--
+// mergeByID merges two lists, each in the order of IDs.
+func mergeByID(x, y []*endpointState) []*endpointState {
+	merged := make([]*endpointState, 0, len(x)+len(y))
+	for len(x) > 0 && len(y) > 0 {
+		if compareIDs(x[0], y[0]) <= 0 {
+			merged = append(merged, x[0])
+			x = x[1:]
 		} else {
-			merged[k] = short[j]
-			j--
+			merged = append(merged, y[0])
+			y = y[1:]
 		}
 	}
-	return merged
+	return slices.Concat(merged, x, y)
 }
 
 // readyEndpoints lists the endpoints that may own slots, by ID.
--- a/internal/discovery/entry_decoder.go
+++ b/internal/discovery/entry_decoder.go
@@ -103,9 +103,10 @@
 	d.position = start + len(instancesMember) + open + 1
 }
 
-// namesEntries reports whether a text may name the entries again, in any case of letters: such an object is of another form.
+// namesEntries reports whether a text may name the entries again, in any case of letters or by escapes: such an object is of another
+// form.
 func namesEntries(text []byte) bool {
-	return bytes.Contains(bytes.ToLower(text), []byte("instances"))
+	return bytes.Contains(bytes.ToLower(text), []byte("instances")) || bytes.IndexByte(text, '\\') >= 0
 }
 
 // readEntry decodes an entry with what precedes it.
--- a/internal/proxy/endpoint.go
+++ b/internal/proxy/endpoint.go
@@ -1,9 +1,6 @@
 package proxy
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"example.org/micafront/balancer"
@@ -88,8 +85,3 @@
 		delete(t, entry.ID)
 	}
 }
-
-// sorted are all endpoints in the order of their IDs.
-func (t endpointTable) sorted() []*endpoint {
-	return slices.SortedFunc(maps.Values(t), func(a, b *endpoint) int { return cmp.Compare(a.id, b.id) })
-}
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -88,7 +88,7 @@
 		return linux.Read(fd, buffer)
 	}
 	system.Write = func(fd int, data []byte) (int, error) {
-		if err := faults.draw(unix.EINTR, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM); err != nil && err != unix.EAGAIN {
+		if err := faults.draw(unix.EINTR, unix.ENOBUFS, unix.ENOMEM); err != nil {
 			return -1, err
 		}
 		if faults.draw(0) != nil { // a short write
