--- a/balancer/ready_list.go
+++ b/balancer/ready_list.go
@@ -68,7 +68,8 @@
 			y = y[1:]
 		}
 	}
-	return slices.Concat(merged, x, y)
+	merged = append(merged, x...)
+	return append(merged, y...)
 }
 
 // readyEndpoints lists the endpoints that may own slots, by ID.
