Have a control-plane replica wait for room on its disk instead of ending

Term: writes fail for a while (ENOSPC); what was taken on is still owed. Operators would have seen a replica end for good at the first write without room, and all of them where their disks fill up together.

Cause: eventLoop.Save passed each failure on as fatal. Evidence: TestFullDiskIsWaitedFor, in which no file may grow (EFBIG by RLIMIT_FSIZE), fails without the change: the replica ended with 'file too large'.

Nothing is acknowledged meanwhile. A failed sync (EIO) still ends the replica.

--- a/internal/controlplane/event_loop.go
+++ b/internal/controlplane/event_loop.go
@@ -193,6 +193,9 @@
 func (l *eventLoop) Save(save consensus.Save) error {
 	start := time.Now()
 	err := l.replica.store.Save(save)
+	if isOutOfSpace(err) {
+		err = l.retrySave(save, err)
+	}
 	l.replica.metrics.saveSeconds.Observe(time.Since(start).Seconds())
 	return err
 }
--- a/internal/controlplane/replica_test.go
+++ b/internal/controlplane/replica_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -24,6 +25,7 @@
 	"example.org/micafront/internal/testing/testkit"
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/bbolt"
+	"golang.org/x/sys/unix"
 )
 
 const validSettings = `{"Balancers":1,"Discovery":"subscribe","Zone":"a","Categories":[{"Name":"feed","Aim":30,"GiveUp":60,"Credit":5,
@@ -649,6 +651,47 @@
 	cluster.replicas[0] = nil
 }
 
+// TestFullDiskIsWaitedFor lets no file grow for a while: the replica keeps what it has acknowledged, takes the proposal on once there is
+// room, and has both after a restart. It does not run beside other tests, whose files could not grow either.
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	cluster := &cluster{t: t, replicas: make([]*Replica, 1), ended: make([]chan error, 1), commitTimeout: time.Minute}
+	cluster.configs = []Config{{ID: 1, Listen: "127.0.0.1:0", Data: t.TempDir(), Peers: map[string]string{"1": "127.0.0.1:1"}, TickMS: 20}}
+	listener := cluster.listenAtNewAddress()
+	cluster.configs[0].Peers["1"] = listener.Addr().String()
+	cluster.start(0, listener)
+	defer func() { cluster.kill(0) }()
+	replica := cluster.replicas[cluster.leader()]
+	cluster.propose(replica, newProposal("a", "one"), "?wait=active")
+
+	signal.Ignore(unix.SIGXFSZ) // so that writes fail in place of ending this process
+	var limit unix.Rlimit
+	cluster.must(unix.Getrlimit(unix.RLIMIT_FSIZE, &limit))
+	full := unix.Rlimit{Cur: 1, Max: limit.Max}
+	cluster.must(unix.Setrlimit(unix.RLIMIT_FSIZE, &full))
+	proposed := make(chan struct{})
+	go func() {
+		cluster.propose(replica, newProposal("b", "two"), "?wait=active")
+		close(proposed)
+	}()
+	select {
+	case <-proposed:
+		t.Error("a proposal was acknowledged that could not be stored")
+	case err := <-cluster.ended[0]:
+		t.Fatalf("the replica ended: %v", err)
+	case <-time.After(4 * saveRetryInterval):
+	}
+	cluster.must(unix.Setrlimit(unix.RLIMIT_FSIZE, &limit))
+	<-proposed
+	cluster.kill(0)
+	cluster.restart(0)
+	cluster.leader()
+	var status Status
+	cluster.get(cluster.replicas[0], "/v1/status", &status)
+	if status.Active == nil || status.Active.Number != 2 {
+		t.Errorf("after a restart the active version is %+v", status.Active)
+	}
+}
+
 func TestConfigCheck(t *testing.T) {
 	good := `{"id":1,"listen":"127.0.0.1:0","data":"d","peers":{"1":"127.0.0.1:7001","2":"[::1]:7002"}}`
 	for _, test := range []struct{ from, to, words string }{
