Soak hot restarts and load reports, and compare costs with load reports too

TestSoak draws a hot restart in place of a stop and a start, in which no client may notice anything, and endpoints that report their load. TestCostBounds runs with load reports as well, and reads peak memory from the running process: the kernel's figure at its end has the harness's own memory in it.

--- a/cmd/micafront/soak_test.go
+++ b/cmd/micafront/soak_test.go
@@ -51,20 +51,24 @@
 
 // TestCostBounds runs processes with lists of 200 and of 3,200 endpoints side by side and compares what they need.
 func TestCostBounds(t *testing.T) {
-	comparison, err := soak.CompareCosts(context.Background(), t.TempDir(), *costProcesses, childProgram)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Log("| in the mean of a process | 200 | 3,200 | bound |")
-	t.Logf("longest wait for an answer with 3,200 endpoints: %v", comparison.LongestWait)
-	for _, violation := range comparison.Violations {
-		t.Error(violation)
-	}
-	for _, bound := range comparison.Bounds {
-		t.Log(bound)
-		if !bound.Kept() {
-			t.Errorf("%s: not kept", bound.Name)
-		}
+	for _, loadReports := range []bool{false, true} {
+		t.Run(fmt.Sprintf("load reports %v", loadReports), func(t *testing.T) {
+			comparison, err := soak.CompareCosts(context.Background(), t.TempDir(), *costProcesses, loadReports, childProgram)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log("| in the mean of a process | 200 | 3,200 | bound |")
+			t.Logf("longest wait for an answer with 3,200 endpoints: %v", comparison.LongestWait)
+			for _, violation := range comparison.Violations {
+				t.Error(violation)
+			}
+			for _, bound := range comparison.Bounds {
+				t.Log(bound)
+				if !bound.Kept() {
+					t.Errorf("%s: not kept", bound.Name)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/testing/soak/costs.go
+++ b/internal/testing/soak/costs.go
@@ -63,9 +63,10 @@
 }
 
 // CompareCosts runs two groups of processes side by side, with the same traffic and the same share of their lists replaced, and
-// returns the bounds that operators set (the page of the standing test).
-func CompareCosts(ctx context.Context, dir string, processes int, program func() *exec.Cmd) (*Comparison, error) {
-	usual, many := &costGroup{endpointCount: usualEndpoints}, &costGroup{endpointCount: manyEndpoints}
+// returns the bounds that operators set (the page of the standing test). loadReports says that endpoints are asked for their load.
+func CompareCosts(ctx context.Context, dir string, processes int, loadReports bool, program func() *exec.Cmd) (*Comparison, error) {
+	usual := &costGroup{endpointCount: usualEndpoints, loadReports: loadReports}
+	many := &costGroup{endpointCount: manyEndpoints, loadReports: loadReports}
 	groups := []*costGroup{usual, many}
 	for i, group := range groups {
 		group.dir = filepath.Join(dir, fmt.Sprint(i))
@@ -103,17 +104,26 @@
 // costGroup is a group of processes with lists of one size.
 type costGroup struct {
 	endpointCount int
+	loadReports   bool
 	dir           string
 	run           *run
 
 	mu          sync.Mutex
-	descriptors map[*proxy]int // the most that were open
+	descriptors map[*proxy]int     // the most that were open
+	memory      map[*proxy]float64 // peak, in bytes
 	states      []*os.ProcessState
 }
 
 func (g *costGroup) start(processes int, program func() *exec.Cmd) error {
-	plan := Plan{Endpoints: g.endpointCount, Patience: 2 * time.Second, Longest: 2 * time.Second, Endings: make([]endpointBehavior, listenerCount)}
+	plan := Plan{
+		Endpoints:   g.endpointCount,
+		Patience:    2 * time.Second,
+		Longest:     2 * time.Second,
+		Endings:     make([]endpointBehavior, listenerCount),
+		LoadReports: g.loadReports,
+	}
 	g.descriptors = map[*proxy]int{}
+	g.memory = map[*proxy]float64{}
 	var err error
 	if g.run, err = newRun(Options{Plan: plan, Dir: g.dir, Program: program}); err != nil {
 		return err
@@ -154,11 +164,12 @@
 	working.Go(func() { g.run.release(playing) })
 	working.Go(func() {
 		for pause(playing, costSamples) {
-			g.countDescriptors()
+			g.sample()
 		}
 	})
 	working.Wait()
 	g.run.clients.wg.Wait()
+	g.sample()
 	for _, p := range g.run.proxies {
 		working.Go(func() {
 			p.signal(syscall.SIGTERM)
@@ -171,25 +182,42 @@
 	working.Wait()
 }
 
-func (g *costGroup) countDescriptors() {
+// sample reads what the kernel counts of each process.
+func (g *costGroup) sample() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.run.proxies {
 		if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)); err == nil {
 			g.descriptors[p] = max(g.descriptors[p], len(open))
 		}
+		g.memory[p] = peakMemory(p.command.Process.Pid)
 	}
 }
 
+// peakMemory is the most memory that a process has had. What the kernel gives with the process's end is of no use: it has the memory
+// of the process that started it as well.
+func peakMemory(pid int) (bytes float64) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	var kilobytes float64
+	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+		return 0
+	}
+	return kilobytes * 1024
+}
+
 // costs sums up the group.
 func (g *costGroup) costs() Costs {
 	var costs Costs
 	count := float64(len(g.states))
 	for _, state := range g.states {
 		costs.CPU += (state.UserTime() + state.SystemTime()) / time.Duration(len(g.states))
-		if usage, ok := state.SysUsage().(*syscall.Rusage); ok {
-			costs.Memory += float64(usage.Maxrss) * 1024 / count
-		}
+	}
+	for _, peak := range g.memory {
+		costs.Memory += peak / count
 	}
 	for _, open := range g.descriptors {
 		costs.Descriptors += float64(open) / count
--- a/internal/testing/soak/endpoints.go
+++ b/internal/testing/soak/endpoints.go
@@ -108,6 +108,10 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	line, err := reader.ReadString('\n')
+	for err == nil && line == "STATS\r\n" && behavior != behaviorHang {
+		_, _ = conn.Write([]byte("PONG outstanding=3,x0=0.2\r\n"))
+		line, err = reader.ReadString('\n')
+	}
 	fields := strings.Fields(line)
 	if err != nil || len(fields) < 2 {
 		return
--- a/internal/testing/soak/plan.go
+++ b/internal/testing/soak/plan.go
@@ -19,6 +19,9 @@
 	// FaultEvery is every how many system calls on a socket one fails; 0: none does.
 	FaultEvery int
 	Endings    []endpointBehavior // of the listeners on which endpoints are played
+	// HotRestart says that the first process hands over to its successor, in place of a stop and a start.
+	HotRestart  bool
+	LoadReports bool // endpoints report their load when they are asked
 }
 
 const (
@@ -59,6 +62,8 @@
 	for i := range 2 {
 		plan.Endings[i] = endpointBehavior(random.IntN(int(behaviorCount)))
 	}
+	plan.HotRestart = random.IntN(3) == 0
+	plan.LoadReports = random.IntN(4) == 0
 	return plan
 }
 
@@ -78,5 +83,11 @@
 	if p.FaultEvery > 0 {
 		parts = append(parts, fmt.Sprintf("every %dth system call fails", p.FaultEvery))
 	}
+	if p.HotRestart {
+		parts = append(parts, "hot restart")
+	}
+	if p.LoadReports {
+		parts = append(parts, "load reports")
+	}
 	return strings.Join(parts, ", ")
 }
--- a/internal/testing/soak/proxies.go
+++ b/internal/testing/soak/proxies.go
@@ -18,6 +18,8 @@
 	// arrivals is how long after SIGTERM new connections still come.
 	arrivals   = 300 * time.Millisecond
 	servesText = " serves at "
+	// successorTime is how long two processes run side by side at a hot restart.
+	successorTime = 400 * time.Millisecond
 )
 
 // holdUp is a time in which a process was stopped.
@@ -161,6 +163,28 @@
 	return nil
 }
 
+// hotRestart starts a successor, which takes the place of the process without its clients noticing, and ends the process. The error
+// says that one of both did not do so.
+func (p *proxy) hotRestart(longestDeadline time.Duration) error {
+	predecessor := p.command
+	if err := p.start(); err != nil {
+		return err
+	}
+	time.Sleep(successorTime)
+	began := time.Now()
+	_ = predecessor.Process.Signal(syscall.SIGTERM)
+	exited := make(chan error, 1)
+	go func() { exited <- predecessor.Wait() }()
+	select {
+	case err := <-exited:
+		return err
+	case <-time.After(longestDeadline + killDelay):
+		_ = predecessor.Process.Kill()
+		<-exited
+		return fmt.Errorf("%s, %v after SIGTERM: the predecessor still ran at the kill", p.name, time.Since(began).Round(time.Millisecond))
+	}
+}
+
 // reload replaces a text of the configuration and sends a series of signals.
 func (p *proxy) reload(from, to string) error {
 	text, err := os.ReadFile(p.configPath)
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -175,6 +175,12 @@
 	if !pause(ctx, runTime/4) {
 		return
 	}
+	if r.Plan.HotRestart {
+		if err := r.proxies[0].hotRestart(r.Plan.Longest); err != nil {
+			r.clients.violate("hot restart: %v", err)
+		}
+		return
+	}
 	if err := r.proxies[0].stop(r.Plan.Longest); err != nil {
 		r.clients.violate("%v", err)
 	}
@@ -215,12 +221,21 @@
 	return p, nil
 }
 
+// loadReportSettings are the members by which proxies ask endpoints for their load.
+func (p Plan) loadReportSettings() string {
+	if !p.LoadReports {
+		return ""
+	}
+	return `"Stats":{"How":"probe","Fields":["outstanding","x0"]},"OverShareWorth":0.05,"Customers":[{"Name":"all","Share":1}],
+		"FamilyInfo":{"TenantQuotaConnections":[1000]},`
+}
+
 // config is a proxy's configuration. Its known list is the one of the run's beginning.
 func (r *run) config(name string) string {
 	return fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","discovery":%q,"seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
-		"known":%s,"settings":{"Balancers":%d,"Discovery":"subscribe","Zone":"a",
+		"known":%s,"settings":{"Balancers":%d,"Discovery":"subscribe","Zone":"a",%s
 		"Categories":[{"Name":"feed","Aim":1,"GiveUp":%g,"Credit":5,"Effect":"safe","DedupScope":"all"}],
 		"Limits":{"AttemptsCap":4,"ConnectTimeout":0.3,"MaxRetryAfter":1,"MaxOpen":100000,"RetryAfter":true,"MayCancel":true,"Probes":true},
 		"Invariants":{"AnswerSlack":0.016,"AskEvery":1,"Cold":8.9,"ColdFrom":0.3,"DrainGrace":3,"Fall":1,"OverloadFactor":3}}}`,
-		name, r.discovery.Addr, r.random.Uint64(), r.discovery.List(), proxyCount, r.Plan.Longest.Seconds())
+		name, r.discovery.Addr, r.random.Uint64(), r.discovery.List(), proxyCount, r.Plan.loadReportSettings(), r.Plan.Longest.Seconds())
 }
