--- a/internal/proxy/turn_cost_test.go
+++ b/internal/proxy/turn_cost_test.go
@@ -145,13 +145,13 @@
 	costs.measure(t, "telemetry", func() { p.Telemetry() })
 	costs.measure(t, "hot restart, on the loop", func() { p.captureState() })
 	costs.measure(t, "reload", func() { p.applyConfig(p.config.Settings, p.config.LoadIsLatency, p.config.Routes) })
-	costs.measure(t, "pool swap", func() { p.applyConfig(p.config.Settings, p.config.LoadIsLatency, goldenZonePools(t)) })
+	costs.measure(t, "pool swap", func() { p.applyConfig(p.config.Settings, p.config.LoadIsLatency, zonePools(t)) })
 	costs.measure(t, "full list, two pools", func() { p.applyList(balancer.FullList, whole) })
 	costs.measure(t, "pool swap back", func() { p.applyConfig(p.config.Settings, p.config.LoadIsLatency, p.config.Routes) })
 }
 
-// goldenZonePools is a table that divides the endpoints by their zones.
-func goldenZonePools(t *testing.T) *routing.Table {
+// zonePools is a table that divides the endpoints by their zones.
+func zonePools(t *testing.T) *routing.Table {
 	t.Helper()
 	table, err := routing.New(routing.Set{
 		Pools: []routing.Pool{
--- a/internal/testing/soak/costs.go
+++ b/internal/testing/soak/costs.go
@@ -119,7 +119,7 @@
 		Endpoints:   g.endpointCount,
 		Patience:    2 * time.Second,
 		Longest:     2 * time.Second,
-		Endings:     make([]endpointBehavior, listenerCount),
+		Behaviors:   make([]endpointBehavior, listenerCount),
 		LoadReports: g.loadReports,
 	}
 	g.descriptors = map[*proxy]int{}
--- a/internal/testing/soak/plan.go
+++ b/internal/testing/soak/plan.go
@@ -18,7 +18,7 @@
 	Clock     time.Duration // by which the processes' wall clock is set midway
 	// FaultEvery is every how many system calls on a socket one fails; 0: none does.
 	FaultEvery int
-	Endings    []endpointBehavior // of the listeners on which endpoints are played
+	Behaviors  []endpointBehavior // of the listeners on which endpoints are played
 	// HotRestart says that the first process hands over to its successor, in place of a stop and a start.
 	HotRestart  bool
 	LoadReports bool // endpoints report their load when they are asked
@@ -45,7 +45,7 @@
 		Endpoints: []int{24, 200, largeList}[random.IntN(3)],
 		Patience:  between(300*time.Millisecond, 1500*time.Millisecond),
 		Longest:   between(1800*time.Millisecond, 3*time.Second),
-		Endings:   make([]endpointBehavior, listenerCount),
+		Behaviors: make([]endpointBehavior, listenerCount),
 	}
 	if random.IntN(2) == 0 {
 		plan.Crowd = 100 + random.IntN(200)
@@ -60,7 +60,7 @@
 		plan.FaultEvery = 10 + random.IntN(200)
 	}
 	for i := range 2 {
-		plan.Endings[i] = endpointBehavior(random.IntN(int(behaviorCount)))
+		plan.Behaviors[i] = endpointBehavior(random.IntN(int(behaviorCount)))
 	}
 	plan.HotRestart = random.IntN(3) == 0
 	plan.LoadReports = random.IntN(4) == 0
@@ -69,7 +69,7 @@
 
 // String says what is special in a plan.
 func (p Plan) String() string {
-	parts := []string{fmt.Sprintf("seed %d: %d endpoints (%v, %v), patience %v, deadline %v", p.Seed, p.Endpoints, p.Endings[0], p.Endings[1],
+	parts := []string{fmt.Sprintf("seed %d: %d endpoints (%v, %v), patience %v, deadline %v", p.Seed, p.Endpoints, p.Behaviors[0], p.Behaviors[1],
 		p.Patience.Round(time.Millisecond), p.Longest.Round(time.Millisecond))}
 	if p.Crowd > 0 {
 		parts = append(parts, fmt.Sprintf("crowd of %d", p.Crowd))
--- a/internal/testing/soak/run.go
+++ b/internal/testing/soak/run.go
@@ -50,7 +50,7 @@
 		clockFile: filepath.Join(options.Dir, "clock"),
 	}
 	var err error
-	if r.endpoints, err = startEndpoints(options.Plan.Endings); err != nil {
+	if r.endpoints, err = startEndpoints(options.Plan.Behaviors); err != nil {
 		return nil, err
 	}
 	if r.discovery, err = fakes.NewDiscoveryServer(); err != nil {
