--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -190,7 +190,12 @@
 	if a.conn.HungUp() {
 		// The endpoint seems to have ended the connection at once, and has executed nothing: what it sent is read first,
 		// in this turn. Where nothing comes, the event was of a closed connection that had the same descriptor.
-		p.loop.After(0, a.writeRequest)
+		p.loop.After(0, func() {
+			if s.downstream != nil {
+				s.downstream.CheckPeer() // it may have disconnected since
+			}
+			a.writeRequest()
+		})
 		return
 	}
 	a.writeRequest()
@@ -199,9 +204,6 @@
 // writeRequest writes the first message.
 func (a *attempt) writeRequest() {
 	p := a.session.proxy
-	if downstream := a.session.downstream; downstream != nil {
-		downstream.CheckPeer() // it may have disconnected since the turn before
-	}
 	remaining := a.deadline - p.loop.Now()
 	switch {
 	case a.stage != stageWriting:
