Keep the port of an endpoint that refuses connections

TestUnreadableHandover/silence failed once beside the soak: its client got BUSY after 30 s. Likely cause, found by reading: the soak's refusing endpoint closed its listener, so that another test's endpoint could get its port and the soak's connections with it; not shown by a run. The port is bound and not listened on now.

--- a/internal/testing/soak/endpoints.go
+++ b/internal/testing/soak/endpoints.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"example.org/micafront/internal/fakes"
+	"golang.org/x/sys/unix"
 )
 
 // endpointBehavior is what the endpoints of a listener do with a request.
@@ -41,8 +43,9 @@
 
 // endpoints plays all endpoints of a run on a few listeners.
 type endpoints struct {
-	listeners []net.Listener
-	accepted  atomic.Int64 // connections
+	addrs    []string // of the listeners
+	closers  []func()
+	accepted atomic.Int64 // connections
 
 	mu       sync.Mutex
 	attempts []attemptRecord
@@ -52,33 +55,66 @@
 func startEndpoints(behaviors []endpointBehavior) (*endpoints, error) {
 	e := &endpoints{ended: map[string]bool{}}
 	for _, behavior := range behaviors {
+		if behavior == behaviorRefuse {
+			port, err := reservePort()
+			if err != nil {
+				e.close()
+				return nil, err
+			}
+			e.addrs = append(e.addrs, port.addr)
+			e.closers = append(e.closers, port.close)
+			continue
+		}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			e.close()
 			return nil, err
 		}
-		e.listeners = append(e.listeners, listener)
-		if behavior == behaviorRefuse {
-			_ = listener.Close()
-			continue
-		}
+		e.addrs = append(e.addrs, listener.Addr().String())
+		e.closers = append(e.closers, func() { _ = listener.Close() })
 		go e.accept(listener, behavior)
 	}
 	return e, nil
 }
 
 func (e *endpoints) close() {
-	for _, listener := range e.listeners {
-		_ = listener.Close()
+	for _, closeOne := range e.closers {
+		closeOne()
+	}
+}
+
+// reservedPort is a port that refuses connections and that nobody else gets.
+type reservedPort struct {
+	addr  string
+	close func()
+}
+
+// reservePort binds a socket that does not listen. A listener that is closed would give its port to others, whose peers would then get
+// the connections that are to be refused.
+func reservePort() (reservedPort, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return reservedPort{}, os.NewSyscallError("socket", err)
+	}
+	release := func() { _ = unix.Close(fd) }
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		release()
+		return reservedPort{}, os.NewSyscallError("bind", err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		release()
+		return reservedPort{}, os.NewSyscallError("getsockname", err)
 	}
+	return reservedPort{addr: fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port), close: release}, nil
 }
 
 // entry is an entry of the endpoint list.
 func (e *endpoints) entry(number int, lifecycle string, startedAt time.Time) fakes.Entry {
 	return fakes.Entry{
 		ID:        fmt.Sprintf("s-%05d", number),
-		Addr:      e.listeners[number%len(e.listeners)].Addr().String(),
-		Zone:      string(rune('a' + number/len(e.listeners)%3)),
+		Addr:      e.addrs[number%len(e.addrs)],
+		Zone:      string(rune('a' + number/len(e.addrs)%3)),
 		Lifecycle: lifecycle,
 		StartedAt: startedAt,
 	}
