--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -112,7 +112,7 @@
 func (p *Proxy) Ready(timeout time.Duration) error {
 	clients := &Clients{record: p.record}
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
-		answer, conn := clients.request(p.Config.Listen, "PING\r\n", time.Second)
+		answer, conn, _ := clients.request(p.Config.Listen, "PING\r\n", time.Second)
 		if conn != nil {
 			conn.Close()
 		}
