--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -13,8 +13,9 @@
 type Answer struct {
 	Request string
 	Proxy   string
-	At      time.Time // when the request was sent
-	First   string    // first word of the answer, or the error
+	At      time.Time     // when the request was sent
+	Waits   time.Duration // how long the client waits for UP, as it said in d
+	First   string        // the answer's line, or what came in its place
 	After   time.Duration
 }
 
@@ -47,7 +48,7 @@
 func (c *Clients) run(proxy, addr, id, line string, patience, life time.Duration) {
 	sent := time.Now()
 	first, conn, reader := c.request(addr, line, patience)
-	answer := Answer{id, proxy, sent, first, time.Since(sent)}
+	answer := Answer{id, proxy, sent, patience, first, time.Since(sent)}
 	c.mu.Lock()
 	c.got = append(c.got, answer)
 	c.mu.Unlock()
@@ -125,13 +126,16 @@
 	return append([]End(nil), c.ends...)
 }
 
+// answerLimit is how long after its time a client still reads, to see whether an answer comes at all.
+const answerLimit = 4 * time.Second
+
 // request sends a first line and returns the answer's line, or what came in its place.
 func (c *Clients) request(addr, line string, patience time.Duration) (string, net.Conn, *bufio.Reader) {
 	conn, err := net.DialTimeout("tcp", addr, patience)
 	if err != nil {
 		return "unreachable", nil, nil
 	}
-	_ = conn.SetDeadline(time.Now().Add(patience + time.Second))
+	_ = conn.SetDeadline(time.Now().Add(patience + answerLimit))
 	if _, err := fmt.Fprint(conn, line); err != nil {
 		return "broken", conn, nil
 	}
