--- a/review/rig/process.go
+++ b/review/rig/process.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	cmd := exec.Command("/bin/sh", "-c", p.line)
 	cmd.Dir = p.root
 	cmd.Env = append(append(os.Environ(), "TMPDIR="+p.dir), p.env...)
