--- a/review/rig/discovery.go
+++ b/review/rig/discovery.go
@@ -54,7 +54,7 @@
 	answerTime time.Duration
 	told       map[string]map[string]time.Time // caller, then feed server and lifecycle: when it was first written
 	cut        map[string]bool                 // callers whose connections stay silent
-	down       bool                            // calls get 503
+	down       bool                            // calls are reset
 	wentDown   chan struct{}                   // closed when discovery goes down, which ends the watches
 	servers    []*http.Server
 	done       chan struct{}
@@ -166,7 +166,7 @@
 	d.record.Printf("discovery: network to %s cut: %v", caller, cut)
 }
 
-// SetDown takes discovery down, which ends its watches, or brings it back. While it is down, calls get 503.
+// SetDown takes discovery down, which ends its watches, or brings it back. While it is down, calls are reset.
 func (d *Discovery) SetDown(down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -207,8 +207,8 @@
 	}
 	down, wentDown := d.isDown()
 	if down {
-		d.record.Printf("discovery: 503 to %s", caller)
-		http.Error(w, "down", http.StatusServiceUnavailable)
+		d.record.Printf("discovery: reset to %s", caller)
+		reset(w)
 		return
 	}
 	d.record.Printf("discovery: answers %s to %s", req.URL.RawQuery, caller)
@@ -225,6 +225,16 @@
 	d.watch(caller, w, req, from, wentDown)
 }
 
+// reset breaks a caller's connection.
+func reset(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
 // awaitNetwork waits until the network to a caller is well.
 func (d *Discovery) awaitNetwork(caller string, req *http.Request) bool {
 	for {
