Identify a request's fallback pools by the pools that routed it, not by name

A version of a fleet did the same to each of its proxies as it became active. A renamed fallback pool ended the process as well or, where it has limits, was skipped: the request was rejected although the pool goes on.

A waiting request keeps the routing table under which it came, and that table's pools were looked up by name among the active ones (session.onPoolRejected, poolSet.usageIn). A name of the former table may be another pool's now, or no pool's. For a missing one usageIn returned a usage so high that each limit was meant to be reached, but a pool without limits has none to reach. So the request moved to a pool that was nil.

Hypotheses and evidence. (1) The claim's: a limit of 0 is never reached. (2) The lookup by name. (3) Positions of the former table used with the new pools. (4) An event that is handled while pools are swapped. The panic's stack is a BUSY of an endpoint after the swap (attempt.onMessage, recordOutcome, executeActions), which rules out 4.

A request keeps its table together with the pools that the table's positions mean (boundTable). A pool that goes on under another name is the same object; one that the active table no longer has accepts nothing. Package routing asks whether a pool is available instead of for a usage to compare with limits of its own, so no usage stands for "removed" any longer. Limits are those of the latest table. The debug line of a fallback names the next pool.

TestRequestProgress draws removed pools too; its calls changed with the signature, what it checks did not shrink.

--- a/internal/proxy/config_subscriber.go
+++ b/internal/proxy/config_subscriber.go
@@ -119,7 +119,7 @@
 
 func (p *Proxy) formerTableInUse() bool {
 	for _, s := range p.sessions.byID {
-		if s.table != nil && s.table != p.pools.table {
+		if s.routedBy.table != nil && s.routedBy.table != p.pools.table {
 			return true
 		}
 	}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -54,7 +54,7 @@
 		return 0, true // the connection has already been established at an endpoint
 	}
 	maxRetryAfter := a.host.activeSettings().Limits.MaxRetryAfter
-	if table := a.host.activeTable(); s.table != nil && s.table != table && a.decisionsDiffer(s, s.table, table) {
+	if table := a.host.activeTable(); s.routedBy.table != nil && s.routedBy.table != table && a.decisionsDiffer(s, s.routedBy.table, table) {
 		a.counters.RejectedSwitched++
 		return min(switchRetryAfter, maxRetryAfter), false
 	}
--- a/internal/proxy/pool_reload.go
+++ b/internal/proxy/pool_reload.go
@@ -28,7 +28,7 @@
 	}
 	now := ps.loop.Now()
 	former := ps.active
-	ps.updatePoolNames(table, pools, created)
+	ps.updateDefinitions(table, pools, created)
 	ps.table = table
 	ps.active = pools
 	if successors[slices.Index(former, ps.discoveryPool)] < 0 {
@@ -59,7 +59,7 @@
 			pools[i] = ps.active[former]
 			continue
 		}
-		pool, err := ps.newPool(table.Set.Pools[i].Name)
+		pool, err := ps.newPool(&table.Set.Pools[i])
 		if err != nil {
 			return nil, nil, err
 		}
@@ -69,13 +69,16 @@
 	return pools, created, nil
 }
 
-// updatePoolNames sets the names of kept pools from the table, and logs renamed and created pools.
-func (ps *poolSet) updatePoolNames(table *routing.Table, pools, created []*endpointPool) {
+// updateDefinitions sets the names and limits of kept pools from the table, and logs renamed and created pools.
+func (ps *poolSet) updateDefinitions(table *routing.Table, pools, created []*endpointPool) {
 	for i, pool := range pools {
-		if name := table.Set.Pools[i].Name; pool.name != name {
-			ps.log.Info("pool renamed", zap.String("from", pool.name), zap.String("to", name))
-			pool.name = name
+		definition := &table.Set.Pools[i]
+		if pool.name != definition.Name {
+			ps.log.Info("pool renamed", zap.String("from", pool.name), zap.String("to", definition.Name))
 		}
+		pool.name = definition.Name
+		pool.maxOpen = definition.MaxOpen
+		pool.maxWaiting = definition.MaxWaiting
 	}
 	for _, pool := range created {
 		ps.log.Info("pool created", zap.String("pool", pool.name))
--- a/internal/proxy/pool_usage.go
+++ b/internal/proxy/pool_usage.go
@@ -1,10 +1,6 @@
 package proxy
 
-import (
-	"math"
-
-	"example.org/micafront/internal/routing"
-)
+import "example.org/micafront/internal/routing"
 
 // usageKind is how a session counts towards the limits of its pool and route.
 type usageKind int
@@ -44,18 +40,14 @@
 	s.setUsage(kind)
 }
 
-// fullUsage is the usage of a pool that accepts nothing more, whatever its limits.
-var fullUsage = routing.Usage{Open: math.MaxInt32, Waiting: math.MaxInt32}
+// accepts reports whether a pool is active and below its limits.
+func (ps *poolSet) accepts(pool *endpointPool) bool {
+	return ps.isActive(pool) && !pool.usage.Full(pool.maxOpen, pool.maxWaiting)
+}
 
-// usageIn returns a function that maps the index of a pool in table to its current usage. A pool that is no longer active
-// has fullUsage.
-func (ps *poolSet) usageIn(table *routing.Table) func(int) routing.Usage {
-	return func(i int) routing.Usage {
-		if pool := ps.byName(table.Set.Pools[i].Name); pool != nil {
-			return pool.usage
-		}
-		return fullUsage
-	}
+// availability returns which pools of a table accept another request. The table may be a former one.
+func (ps *poolSet) availability(bound boundTable) routing.PoolAvailability {
+	return func(i int) bool { return ps.accepts(bound.pools[i]) }
 }
 
 // ensureRouteUsage returns the usage of the named route, creating it if necessary.
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"example.org/micafront/balancer"
@@ -13,10 +14,19 @@
 
 // endpointPool is a pool of endpoints with the balancer that places connections there.
 type endpointPool struct {
-	name     string
-	balancer *balancer.Balancer
-	usage    routing.Usage
-	retireBy time.Duration // when the last connections of a removed pool are migrated; 0: the pool is active
+	name       string
+	balancer   *balancer.Balancer
+	usage      routing.Usage
+	maxOpen    int           // limit of the latest table that has the pool, see routing.Pool
+	maxWaiting int           // likewise
+	retireBy   time.Duration // when the last connections of a removed pool are migrated; 0: it is not removed
+}
+
+// boundTable is a routing table with the pools that it refers to by position. A request keeps the boundTable that routed it,
+// because a later table may rename, remove or reorder the pools, so that neither a name nor a position identifies them.
+type boundTable struct {
+	table *routing.Table
+	pools []*endpointPool // in the order of the table's pools; never modified
 }
 
 // routeUsage counts the requests and connections of a route. It is kept by the route's name across routing tables.
@@ -47,6 +57,12 @@
 	nextSeed      uint64        // for the next pool's balancer
 }
 
+// bound returns the active table with its pools.
+func (ps *poolSet) bound() boundTable { return boundTable{ps.table, ps.active} }
+
+// isActive reports whether the active table has a pool.
+func (ps *poolSet) isActive(pool *endpointPool) bool { return slices.Contains(ps.active, pool) }
+
 // init creates the pools of the first table.
 func (ps *poolSet) init(table *routing.Table, seed uint64) error {
 	ps.table = table
@@ -54,7 +70,7 @@
 	ps.routeUsages = map[string]*routeUsage{}
 	ps.membership = routing.NewPoolMembership(&table.Set, ps.settings.activeSettings().Rules.WarmUp)
 	for i := range table.Set.Pools {
-		pool, err := ps.newPool(table.Set.Pools[i].Name)
+		pool, err := ps.newPool(&table.Set.Pools[i])
 		if err != nil {
 			return err
 		}
@@ -64,8 +80,8 @@
 }
 
 // newPool creates a pool without endpoints.
-func (ps *poolSet) newPool(name string) (*endpointPool, error) {
-	pool := &endpointPool{name: name}
+func (ps *poolSet) newPool(definition *routing.Pool) (*endpointPool, error) {
+	pool := &endpointPool{name: definition.Name, maxOpen: definition.MaxOpen, maxWaiting: definition.MaxWaiting}
 	if ps.discoveryPool == nil {
 		ps.discoveryPool = pool
 	}
--- a/internal/proxy/reattach.go
+++ b/internal/proxy/reattach.go
@@ -16,7 +16,7 @@
 	p.counters.Reattached++
 	attributes := s.connectionAttributes()
 	if decision, ok := p.pools.table.Decide(&attributes); ok {
-		s.table = p.pools.table
+		s.routedBy = p.pools.bound()
 		s.route = p.pools.ensureRouteUsage(p.pools.table.Set.Routes[decision.Route].Name)
 	}
 	s.reattach()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -43,7 +43,7 @@
 	}
 	s.request = nil
 	// An established connection must not keep an inactive table in memory.
-	s.table = nil
+	s.routedBy = boundTable{}
 	wasMigrated := s.downstreamState() != stateRelaying // while the balancer handled the event
 	if s.buffered != nil && !wasMigrated {
 		early := s.buffered
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -43,7 +43,8 @@
 // it answers the request and returns false.
 func (s *session) assignRoute() bool {
 	p := s.proxy
-	table := p.pools.table
+	bound := p.pools.bound()
+	table := bound.table
 	attributes := s.connectionAttributes()
 	decision, ok := table.Decide(&attributes)
 	if !ok {
@@ -54,7 +55,7 @@
 	routeName := table.Set.Routes[decision.Route].Name
 	route := p.pools.ensureRouteUsage(routeName)
 	var verdict routing.Verdict
-	s.policyState, verdict = table.BeginRequest(decision, route.Usage, p.pools.usageIn(table))
+	s.policyState, verdict = table.BeginRequest(decision, route.Usage, p.pools.availability(bound))
 	switch {
 	case verdict == routing.Proceed:
 	case s.request.Resumed: // the connection is already open at an endpoint, so it adds no load
@@ -64,8 +65,8 @@
 		s.reject(s.retryAfter(p.overloadDelay()), reasonPoolLimit)
 		return false
 	}
-	s.table = table
-	s.pool = p.pools.active[s.policyState.Pool]
+	s.routedBy = bound
+	s.pool = bound.pools[s.policyState.Pool]
 	s.route = route
 	s.setUsage(usageWaiting)
 	if entry := p.log.Check(zap.DebugLevel, "routed"); entry != nil {
@@ -94,10 +95,11 @@
 		s.reject(s.retryAfter(delay), reason)
 		return
 	}
+	next := s.routedBy.pools[s.policyState.Pool]
 	p.counters.Fallbacks++
-	p.log.Debug("pool rejected the request; trying the next pool", zap.String("id", s.clientID), zap.String("from", pool.name))
-	next := s.table.Set.Pools[s.policyState.Pool].Name
-	s.assignPool(p.pools.byName(next))
+	p.log.Debug("pool rejected the request; trying the next pool", zap.String("id", s.clientID), zap.String("from", pool.name),
+		zap.String("to", next.name))
+	s.assignPool(next)
 	p.events.handle(s.pool, s.balancerRequest())
 }
 
@@ -114,5 +116,5 @@
 		RetryIsSafe:  s.retries.isSafe(),
 		InFlight:     s.attempt != nil,
 	}
-	return s.policyState.NextPool(s.table, rejection, p.pools.usageIn(s.table)) == routing.Proceed
+	return s.policyState.NextPool(rejection, p.pools.availability(s.routedBy)) == routing.Proceed
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -37,7 +37,7 @@
 
 	// The pool, and the limits towards which the request counts.
 
-	table       *routing.Table          // the table that routed it; nil once the connection is established
+	routedBy    boundTable              // the table that routed it; empty once the connection is established
 	policyState routing.RequestProgress // the progress through its route's policy
 	pool        *endpointPool
 	route       *routeUsage
--- a/internal/routing/request_progress.go
+++ b/internal/routing/request_progress.go
@@ -33,36 +33,34 @@
 const (
 	Proceed   Verdict = iota // send the request to the current pool
 	RouteFull                // reject the request: its route is at a limit
-	PoolFull                 // reject the request: each of its pools is at a limit
+	PoolFull                 // reject the request: none of its pools is available
 	Exhausted                // reject the request: no pool, attempt or time is left
 )
 
-// BeginRequest starts a request. route is the usage of its route, and poolUsage returns the usage of a pool. If the pool of the
-// decision is at a limit, the request falls back to the first pool of the policy that is not.
-func (t *Table) BeginRequest(d Decision, route Usage, poolUsage func(pool int) Usage) (RequestProgress, Verdict) {
+// PoolAvailability reports whether the pool at a position in Set.Pools accepts another request: it is still active and not at a
+// limit.
+type PoolAvailability func(pool int) bool
+
+// BeginRequest starts a request. route is the usage of its route. If the pool of the decision is not available, the request falls
+// back to the first pool of the policy that is.
+func (t *Table) BeginRequest(d Decision, route Usage, available PoolAvailability) (RequestProgress, Verdict) {
 	p := RequestProgress{Decision: d, Policy: t.Policy(d), fallbacks: t.Fallbacks(d)}
 	r := &t.Set.Routes[d.Route]
 	if route.Full(r.MaxOpen, r.MaxWaiting) {
 		return p, RouteFull
 	}
-	if t.poolFull(d.Pool, poolUsage) && !p.nextFallback(t, poolUsage) {
+	if !available(d.Pool) && !p.nextFallback(available) {
 		return p, PoolFull
 	}
 	return p, Proceed
 }
 
-// poolFull reports whether a pool is at a limit.
-func (t *Table) poolFull(pool int, poolUsage func(pool int) Usage) bool {
-	limits := &t.Set.Pools[pool]
-	return poolUsage(pool).Full(limits.MaxOpen, limits.MaxWaiting)
-}
-
-// nextFallback moves to the first remaining fallback pool that is not at a limit, and reports whether there is one.
-func (p *RequestProgress) nextFallback(t *Table, poolUsage func(pool int) Usage) bool {
+// nextFallback moves to the first remaining fallback pool that is available, and reports whether there is one.
+func (p *RequestProgress) nextFallback(available PoolAvailability) bool {
 	for len(p.fallbacks) > 0 {
 		p.Pool = p.fallbacks[0]
 		p.fallbacks = p.fallbacks[1:]
-		if !t.poolFull(p.Pool, poolUsage) {
+		if available(p.Pool) {
 			return true
 		}
 	}
@@ -101,10 +99,10 @@
 
 // NextPool decides whether a request that its pool has rejected is sent to another pool. If a retry is not safe, this requires
 // that no attempt can have been executed, because another pool does not recognize a retry.
-func (p *RequestProgress) NextPool(t *Table, r Rejection, poolUsage func(pool int) Usage) Verdict {
+func (p *RequestProgress) NextPool(r Rejection, available PoolAvailability) Verdict {
 	mayRetry := r.RetryIsSafe || !p.mayHaveRun
 	noAttemptLeft := p.AttemptsLeft(r.AttemptLimit) == 0
-	if r.InFlight || r.Remaining <= r.MinRemaining || noAttemptLeft || !mayRetry || !p.nextFallback(t, poolUsage) {
+	if r.InFlight || r.Remaining <= r.MinRemaining || noAttemptLeft || !mayRetry || !p.nextFallback(available) {
 		return Exhausted
 	}
 	p.earlierAttempts += p.poolAttempts
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -506,10 +506,15 @@
 		for i := range uses {
 			uses[i] = Usage{rapid.IntRange(0, 4).Draw(rt, "open"), rapid.IntRange(0, 3).Draw(rt, "waiting")}
 		}
-		use := func(i int) Usage { return uses[i] }
+		activePools := rapid.SliceOfN(rapid.Bool(), 3, 3)
+		active := activePools.Draw(rt, "active")
+		available := func(i int) bool {
+			pool := table.Set.Pools[i]
+			return active[i] && !uses[i].Full(pool.MaxOpen, pool.MaxWaiting)
+		}
 		d, _ := table.Decide(&ConnectionAttributes{Key: "k"})
 		route := Usage{Open: rapid.IntRange(0, 10).Draw(rt, "open")}
-		progress, verdict := table.BeginRequest(d, route, use)
+		progress, verdict := table.BeginRequest(d, route, available)
 		if (verdict == RouteFull) != (route.Open >= 9) {
 			rt.Fatalf("got verdict %v for route usage %+v", verdict, route)
 		}
@@ -521,8 +526,8 @@
 		seen := map[int]bool{}
 		ran := false
 		for {
-			if seen[progress.Pool] || table.poolFull(progress.Pool, use) {
-				rt.Fatalf("pool %d was tried twice or is at a limit", progress.Pool)
+			if seen[progress.Pool] || !available(progress.Pool) {
+				rt.Fatalf("pool %d was tried twice, is removed or is at a limit", progress.Pool)
 			}
 			seen[progress.Pool] = true
 			for n := rapid.IntRange(0, progress.AttemptsLeft(limit)).Draw(rt, "tries"); n > 0; n-- {
@@ -537,7 +542,8 @@
 			}
 			left := time.Duration(rapid.IntRange(0, 20).Draw(rt, "left"))
 			before := progress.AttemptsLeft(limit)
-			v := progress.NextPool(table, Rejection{Remaining: left, MinRemaining: 5, AttemptLimit: limit, RetryIsSafe: safe}, use)
+			active = activePools.Draw(rt, "active")
+			v := progress.NextPool(Rejection{Remaining: left, MinRemaining: 5, AttemptLimit: limit, RetryIsSafe: safe}, available)
 			if v == Proceed && (left <= 5 || before == 0 || ran && !safe) {
 				rt.Fatalf("request proceeds with %v remaining, %d attempts left, attempt may have run: %v", left, before, ran)
 			}
--- a/internal/sitereport/explain.go
+++ b/internal/sitereport/explain.go
@@ -61,7 +61,7 @@
 	if !open.HasTimeout {
 		timeout = site.Settings.Classes[class].Timeout
 	}
-	progress, _ := site.RoutingTable.BeginRequest(decision, routing.Usage{}, noUsage) // nothing is in use, so no limit is reached
+	progress, _ := site.RoutingTable.BeginRequest(decision, routing.Usage{}, allAvailable)
 	deadline := progress.Deadline(now, now+timeout)
 	out.describeDecision(site, decision, &progress)
 	out.Deadline = (deadline - now).String()
@@ -83,8 +83,8 @@
 	return connection
 }
 
-// noUsage reports that a pool has no other connections or requests, so that no limit is reached.
-func noUsage(int) routing.Usage { return routing.Usage{} }
+// allAvailable reports every pool as available, because nothing is in use and so no limit is reached.
+func allAvailable(int) bool { return true }
 
 // describeDecision sets the fields for the route, its pools and its policy.
 func (e *Explanation) describeDecision(site *sitelang.Site, decision routing.Decision, progress *routing.RequestProgress) {
--- a/internal/sitereport/pools.go
+++ b/internal/sitereport/pools.go
@@ -100,5 +100,5 @@
 		AttemptLimit: settings.Limits.Attempts,
 		RetryIsSafe:  true, // a full endpoint has executed nothing
 	}
-	return progress.NextPool(p.site.RoutingTable, rejection, noUsage) == routing.Proceed
+	return progress.NextPool(rejection, allAvailable) == routing.Proceed
 }
