Write no request to an endpoint of a pool that was removed while it was dialed

Cause: an attempt in flight keeps its pool from before the change, and mayWrite, which checks again before bytes are written, looked at client, endpoint and deduplication window, but not at the pool.

Fix: mayWrite also wants the pool to be active. The attempt then ends as not sent, and the request goes on to its policy's next pool. A connection that is already open at the endpoint (resumed or reattached) is not concerned.

Test: TestReloadRemovesDialedPool failed before (the endpoint received the request's line) and passes now, with TestReload*, TestFallback* and the tests of delayed endpoints.

--- a/cmd/micafront/fallback_reload_test.go
+++ b/cmd/micafront/fallback_reload_test.go
@@ -82,3 +82,24 @@
 	proxy.connect(conns["a"], "alpha")
 	expectNoConn(t, conns["b"])
 }
+
+// TestReloadRemovesDialedPool guards against a request that goes to a removed pool because its connection to the endpoint was
+// being set up during the reload.
+func TestReloadRemovesDialedPool(t *testing.T) {
+	t.Parallel()
+	delayed, unblock := newDelayedListener(t)
+	conns := make(chan *fakes.Peer, 64)
+	spare := fakes.NewScriptedEndpoint(t, "s-b", conns)
+	proxy := startProxy(t, fakes.List(1, true, fakes.Entry{ID: "s-a", Addr: delayed.Addr().String(), Zone: "a"}.String(),
+		fakes.Entry{ID: spare.ID, Addr: spare.Addr, Zone: "b"}.String()), withRouting(fallbackToB))
+	client := proxy.dial()
+	client.Send(openLine("alpha"))
+	waitForSocketState(t, delayed.Addr().String(), socketSynSent)
+	proxy.reload(proxy.routing, `"routing":{"pools":[{"name":"b","select":{"zones":["b"]}}],"routes":[]},`)
+	proxy.waitForLog(logLine("pool removed", `"pool": "a", `))
+	expectNoRequest(t, acceptDelayed(t, delayed, unblock))
+	upstream := fakes.Await(t, conns)
+	upstream.ReadLine()
+	sendUp(upstream)
+	testkit.Equal(t, "answer from the fallback pool", "UP r", client.ReadLine())
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -99,19 +99,23 @@
 }
 
 // mayWrite reports whether the first message may be written now. The balancer allowed it when it sent the attempt.
-// Since then the client may have disconnected, the endpoint may have started to drain, and the time in which endpoints
-// recognize a repeated request may have ended.
+// Since then the client may have disconnected, the endpoint may have started to drain, a reload may have removed the
+// pool, and the time in which endpoints recognize a repeated request may have ended.
 func (a *attempt) mayWrite() bool {
 	s := a.session
-	now := s.proxy.loop.Now()
-	if s.answered || !s.retries.mayExecute(a.endpoint, now) {
+	p := s.proxy
+	now := p.loop.Now()
+	draining := a.endpoint.drainingSince != 0
+	switch {
+	case s.answered || !s.retries.mayExecute(a.endpoint, now):
 		return false
-	}
-	if a.endpoint.drainingSince == 0 || s.request.PreviousEndpoint != "" {
+	case s.request.PreviousEndpoint != "":
 		return true
+	case s.request.Resumed:
+		// It is already open at the endpoint and may continue there until DrainGrace has passed.
+		return !draining || now-a.endpoint.drainingSince < p.settings.Rules.DrainGrace
 	}
-	// A resumed connection is already open at the draining endpoint and may continue there until DrainGrace has passed.
-	return s.request.Resumed && now-a.endpoint.drainingSince < s.proxy.settings.Rules.DrainGrace
+	return !draining && p.pools.isActive(s.pool)
 }
 
 // dial connects to the endpoint, within the connect timeout of the settings.
