Assign a reattached connection to pool and route once it is established

What callers saw: a client that returned with `at=` while its endpoint had not answered yet, and across a SIGHUP that replaced the endpoint's pool, was connected, but not asked to move when the endpoint drained, and was cut off with it. Neither the new pool's nor the route's limit counted the connection, and telemetry showed it nowhere.

Cause: pool and route were assigned as the attempt began and used once it was established, up to 5 s later for the pool and 35 s for the route. A request that is reattached counts as neither waiting nor open until then, so the removed pool was let go at once ("removed pool has no connections left"), and so was the record of the route's usage. The connection then belonged to a balancer that gets no more lists.

Fix: both are assigned when the connection is established, by the tables of that moment. Nothing before needs them.

Test: TestReloadDuringReattach failed before (svc.pool.c.open and svc.route.toB.open 0, want 1) and passes now, with the MOVE as the endpoint drains.

--- a/cmd/micafront/pool_reload_test.go
+++ b/cmd/micafront/pool_reload_test.go
@@ -136,6 +136,28 @@
 	proxy.waitUntilServed(conns["a"], "beta")
 }
 
+// TestReloadDuringReattach guards against a reattached connection that stays with a pool and a route of a former
+// configuration: its client was not asked to move when its endpoint drained, and no limit counted it.
+func TestReloadDuringReattach(t *testing.T) {
+	t.Parallel()
+	proxy, conns, entries := startWithZones(t, []string{"a", "b"}, withRouting(fallbackToB), withAdminListener)
+	client := proxy.dial()
+	client.Send("OPEN id beta c=feed,d=60000,at=s-b\r\n")
+	upstream := fakes.Await(t, conns["b"])
+	upstream.ReadLine()
+	proxy.editConfig(`{"name":"b","select"`, `{"name":"c","select"`)
+	proxy.editConfig(`"fallback":["b"]`, `"fallback":["c"]`)
+	proxy.reload(`"to":[{"pool":"b"`, `"to":[{"pool":"c"`)
+	proxy.waitForLog(logLine("removed pool has no connections left", `"pool": "b"}`))
+	sendUp(upstream)
+	testkit.Equal(t, "answer", "UP r", client.ReadLine())
+	proxy.waitForMetrics(map[string]string{"svc.pool.c.open": "1", "svc.route.toB.open": "1"})
+	draining := entries["b"]
+	draining.Lifecycle = "terminating"
+	proxy.discovery.Lists <- fakes.List(2, false, draining.String())
+	testkit.Equal(t, "moved off the draining endpoint", "MOVE", client.ReadLine())
+}
+
 // TestDiffPredictsReload checks that a reload moves exactly the keys that routing.Diff predicts.
 func TestDiffPredictsReload(t *testing.T) {
 	t.Parallel()
--- a/internal/proxy/reattach.go
+++ b/internal/proxy/reattach.go
@@ -10,16 +10,21 @@
 	reattachAttemptTimeout = 5 * time.Second
 )
 
-// startReattach assigns the session to its route, if any, so that the route's limits count it, and begins to reattach.
+// startReattach begins to reattach.
 func (s *session) startReattach() {
-	p := s.proxy
-	p.counters.Reattached++
+	s.proxy.counters.Reattached++
+	s.reattach()
+}
+
+// assignReattached assigns a reattached connection to the pool of its endpoint and to its route, if any, so that their limits
+// count it. It is called once the connection is established, because a reload may change pools and routes until then.
+func (s *session) assignReattached(endpointID string) {
+	pools := &s.proxy.pools
+	s.pool = pools.forEndpoint(endpointID)
 	attributes := s.connectionAttributes()
-	if decision, ok := p.pools.table.Decide(&attributes); ok {
-		s.routedBy = p.pools.bound()
-		s.route = p.pools.ensureRouteUsage(p.pools.table.Set.Routes[decision.Route].Name)
+	if decision, ok := pools.table.Decide(&attributes); ok {
+		s.route = pools.ensureRouteUsage(pools.table.Set.Routes[decision.Route].Name)
 	}
-	s.reattach()
 }
 
 // reattach attempts to establish the connection again at its previous endpoint.
@@ -34,7 +39,6 @@
 	a := &attempt{session: s, endpoint: e, startedAt: now, deadline: now + reattachAttemptTimeout}
 	s.attempt = a
 	s.attemptCount = 1
-	s.assignPool(p.pools.forEndpoint(e.id))
 	a.dial()
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -34,8 +34,12 @@
 	s.countOutcome(completed)
 	p.sessions.addEstablished(s)
 	s.answered = true
+	previous := s.request.PreviousEndpoint
+	if previous != "" {
+		s.assignReattached(previous)
+	}
 	s.setUsage(usageOpen)
-	if previous := s.request.PreviousEndpoint; previous != "" {
+	if previous != "" {
 		p.events.handle(s.pool, balancer.Adopted{Request: s.balancerRequest(), Endpoint: previous})
 	} else {
 		latency := p.loop.Now() - a.startedAt
