Release the balancer of a removed pool where endpoints are asked for their load

What operators saw: nothing at first.

Cause: a balancer sets its report timer again each time, and the timer holds the pool; nothing looked at whether the pool was still there.

Fix: a timer of a pool that is neither active nor left with connections is dropped.

--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"slices"
+
 	"example.org/micafront/balancer"
 	"example.org/micafront/internal/evloop"
 	"example.org/micafront/internal/metrics"
@@ -80,7 +82,7 @@
 			s.migrate(balancer.Canceled)
 		}
 	case balancer.SetTimer:
-		p.loop.After(action.Delay, func() { p.events.handle(pool, balancer.Timer{Token: action.Token}) })
+		p.loop.After(action.Delay, func() { p.onBalancerTimer(pool, action.Token) })
 	case balancer.Watch:
 		if pool == p.pools.discoveryPool {
 			p.discoveryClient.Watch(action.On)
@@ -95,3 +97,11 @@
 		p.loadQueries.add(pool, action.Endpoint)
 	}
 }
+
+// onBalancerTimer passes a timer to a pool's balancer. A removed pool without connections gets none, so that its balancer, which
+// sets some timers again each time, is released.
+func (p *Proxy) onBalancerTimer(pool *endpointPool, token string) {
+	if p.pools.isActive(pool) || slices.Contains(p.pools.retired, pool) {
+		p.events.handle(pool, balancer.Timer{Token: token})
+	}
+}
