Continue a predecessor's pools by the same rule as on a reload

What operators saw: after a hot restart into a file that splits a pool (`was` in both parts), both parts went on with the old pool's state, where OPERATING-SITES says "the first by name goes on, the other starts with no state". A proxy that got the same file by SIGHUP had other tables for the second part. A pool that was added with `was: ["a"]` beside a pool "a" got a copy of its state too. A connection that came over was given to the pool of its former name even if its endpoint belongs to another pool now, and if its pool was renamed and its endpoint is in no pool, to the first pool of the file.

Cause: the rule by which pools go on stood twice. A reload uses routing.SuccessorPools, a hot restart looked names up by itself, one pool at a time and so without knowing which state was taken.

Fix: both use routing.SuccessorsOf. A connection goes to the owner of its endpoint, or else to the pool that goes on. If two pools become one, a reload takes the state of the first in the old file and a hot restart that of the first by name, since the handover has no order; its form is unchanged.

Not shown with real processes.

--- a/internal/proxy/hotrestart_state.go
+++ b/internal/proxy/hotrestart_state.go
@@ -35,18 +35,23 @@
 	Clock *evloop.ClockReading `json:",omitempty"`
 }
 
-// poolState returns the state of a pool, looked up by its current name and then its former ones. ok is false if there is none.
-// single reports whether the pool is the only one in this process.
-func (h *handoverState) poolState(pool *routing.Pool, single bool) (state balancer.State, ok bool) {
+// poolStates returns the states of this process's pools by their positions in set. Each state is continued by one pool at most,
+// the same as on a reload.
+func (h *handoverState) poolStates(set *routing.Set) map[int]balancer.State {
+	states := map[int]balancer.State{}
 	if len(h.Pools) == 0 {
-		return h.Balancer, single
+		if len(set.Pools) == 1 {
+			states[0] = h.Balancer
+		}
+		return states
 	}
-	for _, name := range append([]string{pool.Name}, pool.FormerNames...) {
-		if state, ok := h.Pools[name]; ok {
-			return state, true
+	names := slices.Sorted(maps.Keys(h.Pools))
+	for i, successor := range routing.SuccessorsOf(names, set) {
+		if successor >= 0 {
+			states[successor] = h.Pools[names[i]]
 		}
 	}
-	return balancer.State{}, false
+	return states
 }
 
 // capturedState is a handoverState whose endpoint list is not encoded yet. It shares no mutable data with the event loop.
@@ -160,9 +165,10 @@
 // resumeBalancers resumes the balancer of each pool that has a state. The results are in the order of the pools. anyRestored
 // reports whether any balancer resumed.
 func (p *Proxy) resumeBalancers(state *handoverState) (restored []restoredBalancer, anyRestored bool) {
+	states := state.poolStates(&p.pools.table.Set)
 	for i, pool := range p.pools.active {
 		var result restoredBalancer
-		if poolState, ok := state.poolState(&p.pools.table.Set.Pools[i], p.pools.isSingle()); ok {
+		if poolState, ok := states[i]; ok {
 			actions, err := pool.balancer.Resume(p.loop.Now(), poolState)
 			if err != nil {
 				p.log.Warn("hot restart: handover rejected", zap.Error(err))
--- a/internal/proxy/hotrestart_transfer.go
+++ b/internal/proxy/hotrestart_transfer.go
@@ -111,13 +111,10 @@
 		class:         className,
 		classOutcomes: p.counters.Class(className),
 		answered:      true,
-		pool:          p.pools.byName(conn.Pool),
+		pool:          p.pools.forTransfer(conn.Pool, endpointID),
 		attemptCount:  1,
 		relay:         relayState{unansweredSince: conn.UnansweredSince},
 	}
-	if s.pool == nil {
-		s.pool = p.pools.forEndpoint(endpointID)
-	}
 	if conn.Route != "" {
 		s.route = p.pools.ensureRouteUsage(conn.Route)
 	}
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -113,12 +113,14 @@
 	return ps.active[0]
 }
 
-// byName returns the active pool with that name, or nil if there is none.
-func (ps *poolSet) byName(name string) *endpointPool {
-	if i := ps.table.PoolIndex(name); i >= 0 {
-		return ps.active[i]
+// forTransfer returns the pool of a predecessor's connection: the owner of its endpoint, or else the pool that continues the
+// predecessor's pool.
+func (ps *poolSet) forTransfer(formerPool, endpointID string) *endpointPool {
+	continuing := routing.SuccessorsOf([]string{formerPool}, &ps.table.Set)[0]
+	if ps.membership.PoolOf(endpointID) < 0 && continuing >= 0 {
+		return ps.active[continuing]
 	}
-	return nil
+	return ps.forEndpoint(endpointID)
 }
 
 // unavailableEndpoints returns the number of endpoints of active pools that get no new requests now.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -133,14 +133,6 @@
 	return int(position)
 }
 
-// PoolIndex returns the position in Set.Pools of the pool with the given name, or -1 if there is none.
-func (t *Table) PoolIndex(name string) int {
-	if i, ok := t.poolIndexes[name]; ok {
-		return i
-	}
-	return -1
-}
-
 // Policy returns the policy of a decision, or the zero Policy if there is none.
 func (t *Table) Policy(d Decision) Policy {
 	if p := t.policyAt(d.Policy); p != nil {
