Hand a connection over if its endpoint changed pools during the attempt

What operators saw: a connection that was established just after its endpoint changed over to another pool counted towards the former pool's limits, and its load reports went to that pool's balancer, which no longer has the endpoint, until the next list came.

Cause: connections are handed over when lists and configurations are applied, and only established ones. One in flight then keeps its pool from before.

Fix: the same check when a connection is established.

--- a/cmd/micafront/pool_reload_test.go
+++ b/cmd/micafront/pool_reload_test.go
@@ -112,6 +112,24 @@
 	testkit.Equal(t, "moved off the draining endpoint", "MOVE", client.ReadLine())
 }
 
+// TestEndpointChangesPoolDuringRequest guards against a connection that counts towards the limits of its endpoint's former pool
+// because the endpoint changed pools before the connection was established.
+func TestEndpointChangesPoolDuringRequest(t *testing.T) {
+	t.Parallel()
+	proxy, conns, entries := startWithZones(t, []string{"a", "b"}, withRouting(fallbackToB), withAdminListener)
+	client, upstream := proxy.openPending(conns["a"], "alpha")
+	moved := entries["a"]
+	moved.Zone = "b"
+	proxy.discovery.Lists <- fakes.List(2, false, moved.String())
+	proxy.waitForLog(logLine("endpoint moved to another pool", `"endpoint": "s-a", "from": "a", "to": "b"}`))
+	sendUp(upstream)
+	testkit.Equal(t, "answer", "UP r", client.ReadLine())
+	proxy.waitForMetrics(map[string]string{"svc.pool.a.open": "0", "svc.pool.b.open": "1", "svc.transfers": "1"})
+	moved.Lifecycle = "terminating"
+	proxy.discovery.Lists <- fakes.List(3, false, moved.String())
+	testkit.Equal(t, "moved off the draining endpoint", "MOVE", client.ReadLine())
+}
+
 // TestWarmingEndpointChangesPool checks that an endpoint that changes pools during slow start belongs to neither pool until
 // it is warm, so that its slow-start budget counts only once.
 func TestWarmingEndpointChangesPool(t *testing.T) {
--- a/internal/proxy/pool_list.go
+++ b/internal/proxy/pool_list.go
@@ -70,31 +70,36 @@
 	})
 }
 
-// reassignConnections moves each connection whose endpoint now belongs to another pool to that pool, because only that pool's
-// balancer is notified when the endpoint drains. The connections themselves are unaffected.
+// reassignConnections reassigns all established connections.
 func (ps *poolSet) reassignConnections() {
 	for _, s := range slices.Clone(ps.sessions.established) {
-		if s.downstreamState() != stateRelaying || s.pool.retireBy != 0 {
-			continue
-		}
-		i := ps.membership.PoolOf(s.attempt.endpoint.id)
-		if i < 0 || ps.active[i] == s.pool {
-			continue
-		}
-		connection, known := s.pool.balancer.Connection(s.id)
-		if !known {
-			continue
-		}
-		ps.events.handle(s.pool, balancer.AttemptEnded{
-			ID:       s.id,
-			Endpoint: connection.Endpoint,
-			Attempt:  s.attempt.number,
-			Status:   balancer.Canceled,
-			Final:    true,
-		})
-		s.assignPool(ps.active[i])
-		s.attempt.number = 0
-		ps.counters.PoolTransfers++
-		ps.events.handle(s.pool, connection)
+		ps.reassign(s)
+	}
+}
+
+// reassign moves an established connection whose endpoint now belongs to another pool to that pool, because only that pool's
+// balancer is notified when the endpoint drains. The connection itself is unaffected.
+func (ps *poolSet) reassign(s *session) {
+	if s.downstreamState() != stateRelaying || s.pool.retireBy != 0 {
+		return
+	}
+	i := ps.membership.PoolOf(s.attempt.endpoint.id)
+	if i < 0 || ps.active[i] == s.pool {
+		return
 	}
+	connection, known := s.pool.balancer.Connection(s.id)
+	if !known {
+		return
+	}
+	ps.events.handle(s.pool, balancer.AttemptEnded{
+		ID:       s.id,
+		Endpoint: connection.Endpoint,
+		Attempt:  s.attempt.number,
+		Status:   balancer.Canceled,
+		Final:    true,
+	})
+	s.assignPool(ps.active[i])
+	s.attempt.number = 0
+	ps.counters.PoolTransfers++
+	ps.events.handle(s.pool, connection)
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -34,17 +34,7 @@
 	s.countOutcome(completed)
 	p.sessions.addEstablished(s)
 	s.answered = true
-	previous := s.request.PreviousEndpoint
-	if previous != "" {
-		s.assignReattached(previous)
-	}
-	s.setUsage(usageOpen)
-	if previous != "" {
-		p.events.handle(s.pool, balancer.Adopted{Request: s.balancerRequest(), Endpoint: previous})
-	} else {
-		latency := p.loop.Now() - a.startedAt
-		p.events.handle(s.pool, balancer.Established{ID: s.id, Endpoint: a.endpoint.id, Attempt: a.number, Latency: latency})
-	}
+	s.registerEstablished(a)
 	s.request = nil
 	// An established connection must not keep an inactive table in memory.
 	s.routedBy = boundTable{}
@@ -57,6 +47,22 @@
 	}
 }
 
+// registerEstablished passes an established connection to the balancer of the pool that owns its endpoint, and counts it
+// towards the limits of the pool and the route.
+func (s *session) registerEstablished(a *attempt) {
+	p := s.proxy
+	if previous := s.request.PreviousEndpoint; previous != "" {
+		s.assignReattached(previous)
+		s.setUsage(usageOpen)
+		p.events.handle(s.pool, balancer.Adopted{Request: s.balancerRequest(), Endpoint: previous})
+		return
+	}
+	s.setUsage(usageOpen)
+	latency := p.loop.Now() - a.startedAt
+	p.events.handle(s.pool, balancer.Established{ID: s.id, Endpoint: a.endpoint.id, Attempt: a.number, Latency: latency})
+	p.pools.reassign(s) // the endpoint may have changed pools during the attempt
+}
+
 // relayHandler handles the events of an established connection to an endpoint.
 type relayHandler struct{ *attempt }
 
