Migrate clients before a draining endpoint leaves that their pool does not own

What callers saw: after a SIGHUP that removes a pool, clients of an endpoint that then drains were asked to move by drain_over (30 s), not within DrainGrace (3 s); with 60 clients the last one 5.9 s after the drain. After a SIGHUP that narrows a pool, so that an endpoint belongs to none, they were never asked. Both were cut off as the endpoint left.

Cause: a drain is passed to the balancer of the pool that owns the endpoint, and connections are handed over to the owner as lists are applied. A removed pool's connections are not handed over, and an endpoint without a pool has no owner.

Fix: connections whose pool does not own their draining endpoint are migrated evenly by the end of its DrainGrace (pool_drain.go): when a list or a configuration is applied, and when such a connection is established or taken over. Where the pool owns the endpoint nothing changes.

Test: TestEndpointWithoutPoolDrains failed before (removed pool: last MOVE after 5.9 s, want 3 s; narrowed pool: none within 30 s) and passes now.

--- a/cmd/micafront/pool_reload_test.go
+++ b/cmd/micafront/pool_reload_test.go
@@ -176,6 +176,43 @@
 	testkit.Equal(t, "moved off the draining endpoint", "MOVE", client.ReadLine())
 }
 
+// TestEndpointWithoutPoolDrains guards against clients that are cut off when their endpoint leaves, because a reload removed the
+// endpoint's pool, or narrowed it, and no balancer that has their connections hears of the drain any longer.
+func TestEndpointWithoutPoolDrains(t *testing.T) {
+	t.Parallel()
+	for name, next := range map[string]string{
+		"removed pool":  onlyPoolA,
+		"narrowed pool": strings.Replace(fallbackToB, `"zones":["b"]`, `"zones":["elsewhere"]`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			proxy, conns, entries := startWithZones(t, []string{"a", "b"}, withRouting(fallbackToB))
+			kept, keptUpstream := proxy.connect(conns["a"], "alpha")
+			var clients []*fakes.Peer
+			for range 60 {
+				client, _ := proxy.connect(conns["b"], "beta")
+				clients = append(clients, client)
+			}
+			proxy.reload(proxy.routing, `"routing":`+next+`,`)
+			proxy.waitForCounter("reloads=1")
+			draining := entries["b"]
+			draining.Lifecycle = "terminating"
+			start := time.Now()
+			proxy.discovery.Lists <- fakes.List(2, false, draining.String())
+			for _, client := range clients {
+				testkit.Equal(t, "before the endpoint leaves", "MOVE", client.ReadLine())
+			}
+			const grace = 3 * time.Second // DrainGrace of the settings
+			if took := time.Since(start); took > grace {
+				t.Errorf("the last client was asked to move after %v, want within %v", took, grace)
+			}
+			proxy.waitForCounter("open=1")
+			kept.Send("still here\r\n")
+			testkit.Equal(t, "at the other endpoint", "still here", keptUpstream.ReadLine())
+		})
+	}
+}
+
 // TestDiffPredictsReload checks that a reload moves exactly the keys that routing.Diff predicts.
 func TestDiffPredictsReload(t *testing.T) {
 	t.Parallel()
--- a/internal/metrics/counters.go
+++ b/internal/metrics/counters.go
@@ -40,7 +40,7 @@
 	Failed             Counter
 	ClientDisconnected Counter // before the final answer
 
-	Migrations             Counter // migrations requested by the balancer
+	Migrations             Counter // migrations requested by the balancer, or from a draining endpoint that the connection's pool does not own
 	MigrationsUnresponsive Counter // away from an endpoint that no longer answers messages
 	MigrationsShutdown     Counter // because this process drains or stops
 	ClosedByEndpoint       Counter // established connections that the endpoint closed
--- a/internal/proxy/endpoint.go
+++ b/internal/proxy/endpoint.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"example.org/micafront/balancer"
@@ -23,6 +24,9 @@
 	latency endpointLatency
 }
 
+// compareEndpoints orders endpoints by ID.
+func compareEndpoints(a, b *endpoint) int { return cmp.Compare(a.id, b.id) }
+
 // endpointLatency is what the proxy knows about an endpoint's latency.
 type endpointLatency struct {
 	samples        []time.Duration // latencies of messages since the last report
--- a/internal/proxy/hotrestart_transfer.go
+++ b/internal/proxy/hotrestart_transfer.go
@@ -90,6 +90,7 @@
 	if s.downstreamState() != stateRelaying {
 		return // the balancer migrated it at once because its endpoint drains
 	}
+	p.pools.drainIfUnowned(a.endpoint)
 	a.conn.Write(conn.PendingUpstream)
 	if a.conn.Pending() > maxPendingOutput {
 		s.downstream.Pause()
--- a/internal/proxy/latency.go
+++ b/internal/proxy/latency.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -52,7 +51,7 @@
 
 // drainSampled returns the endpoints that have samples, sorted by ID, and clears the set of these endpoints.
 func (t *latencyTracker) drainSampled() []*endpoint {
-	sampled := slices.SortedFunc(maps.Keys(t.sampled), func(a, b *endpoint) int { return cmp.Compare(a.id, b.id) })
+	sampled := slices.SortedFunc(maps.Keys(t.sampled), compareEndpoints)
 	clear(t.sampled)
 	return sampled
 }
--- a/internal/proxy/pool_list.go
+++ b/internal/proxy/pool_list.go
@@ -15,17 +15,18 @@
 	ps.distribute(ps.membership.ApplyList(ps.loop.Now(), kind, list.Generation, list.Entries()))
 }
 
-// distribute passes the pools their endpoint updates, and reassigns connections whose endpoints moved to another pool.
+// distribute passes the pools their endpoint updates, reassigns connections whose endpoints moved to another pool, and migrates
+// those whose draining endpoint their pool does not own.
 func (ps *poolSet) distribute(updates []routing.PoolUpdate) {
 	for _, update := range updates {
 		ps.events.handle(ps.active[update.Pool], update.Members)
 	}
 	ps.logMembershipEvents(ps.membership.TakeEvents())
-	if ps.isSingle() && !ps.membership.AnyReserved() {
-		return
+	if !ps.isSingle() || ps.membership.AnyReserved() {
+		ps.reassignConnections()
+		ps.releaseReserved()
 	}
-	ps.reassignConnections()
-	ps.releaseReserved()
+	ps.drainUnowned()
 }
 
 // maxLoggedEvents is how many membership events of one turn get a log line each. The rest are counted by type, because a swap of
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -55,6 +55,8 @@
 	routeUsages   map[string]*routeUsage
 	releaseAt     time.Duration // next check of reserved endpoints; 0: none are reserved
 	nextSeed      uint64        // for the next pool's balancer
+
+	drainingUnowned bool // the next step of unownedDrainStep is scheduled
 }
 
 // bound returns the active table with its pools.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -35,6 +35,7 @@
 	p.sessions.addEstablished(s)
 	s.answered = true
 	s.registerEstablished(a)
+	p.pools.drainIfUnowned(a.endpoint)
 	s.request = nil
 	// An established connection must not keep an inactive table in memory.
 	s.routedBy = boundTable{}
--- a/internal/routing/pool_membership.go
+++ b/internal/routing/pool_membership.go
@@ -170,6 +170,9 @@
 	return noPool
 }
 
+// Lists reports whether the endpoint list contains an endpoint.
+func (m *PoolMembership) Lists(id string) bool { return m.endpoints[id] != nil }
+
 // poolName returns the name of a pool, or "" for noPool.
 func (m *PoolMembership) poolName(pool int) string {
 	if pool == noPool {
