Let other log lines come between those of a hot restart in TestHotRestart

The test now compares all lines about hot restarts, in their order and number, from the first one on, so it is stricter on these and looks at no others.

--- a/cmd/micafront/hot_restart_test.go
+++ b/cmd/micafront/hot_restart_test.go
@@ -130,7 +130,7 @@
 	pendingUpstream.ReadLine()
 	second := proxy.startSuccessor()
 	testkit.Equal(t, "address", proxy.addr, second.addr)
-	proxy.waitForLog(strings.Join([]string{logSuccessorServes, logSuccessorExited, logSuccessorConnected, logSuccessorServes}, "\n"))
+	proxy.waitForHotRestartLog(logSuccessorConnected, logSuccessorServes, logSuccessorExited, logSuccessorConnected, logSuccessorServes)
 	duplicate := second.dial() // its id is that of a request in progress at the first process
 	duplicate.Send(strings.Replace(openLine("x"), fakes.PreviousID(0)+" ", fakes.PreviousID(1)+" ", 1))
 	testkit.Equal(t, "same id", "ERR SYNTAX", duplicate.ReadLine())
--- a/cmd/micafront/process_test.go
+++ b/cmd/micafront/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -251,6 +252,26 @@
 	return ""
 }
 
+// waitForHotRestartLog waits until the log lines about hot restarts are these, in this order. Other lines may come between them,
+// such as one about a turn that the host held up.
+func (p *proxyProcess) waitForHotRestartLog(want ...string) {
+	p.t.Helper()
+	for end := time.Now().Add(fakes.WaitTimeout); ; time.Sleep(5 * time.Millisecond) {
+		var lines []string
+		for line := range strings.Lines(p.stderr.String()) {
+			if strings.HasPrefix(line, "hot restart: ") {
+				lines = append(lines, strings.TrimSuffix(line, "\n"))
+			}
+		}
+		if slices.Equal(lines, want) {
+			return
+		}
+		if time.Now().After(end) {
+			p.t.Fatalf("log lines about hot restarts are %q, want %q", lines, want)
+		}
+	}
+}
+
 // waitForCounter requests the counters by SIGUSR1 until they include a value such as "open=0".
 func (p *proxyProcess) waitForCounter(counter string) {
 	p.t.Helper()
