--- a/cmd/micafront/pool_reload_test.go
+++ b/cmd/micafront/pool_reload_test.go
@@ -180,11 +180,17 @@
 // endpoint's pool, or narrowed it, and no balancer that has their connections hears of the drain any longer.
 func TestEndpointWithoutPoolDrains(t *testing.T) {
 	t.Parallel()
-	for name, next := range map[string]string{
-		"removed pool":  onlyPoolA,
-		"narrowed pool": strings.Replace(fallbackToB, `"zones":["b"]`, `"zones":["elsewhere"]`, 1),
+	narrowed := strings.Replace(fallbackToB, `"zones":["b"]`, `"zones":["elsewhere"]`, 1)
+	for _, c := range []struct {
+		name, routing string
+		hotRestart    bool
+	}{
+		{"removed pool", onlyPoolA, false},
+		{"narrowed pool", narrowed, false},
+		{"removed pool at a hot restart", onlyPoolA, true},
+		{"narrowed pool at a hot restart", narrowed, true},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			proxy, conns, entries := startWithZones(t, []string{"a", "b"}, withRouting(fallbackToB))
 			kept, keptUpstream := proxy.connect(conns["a"], "alpha")
@@ -193,8 +199,17 @@
 				client, _ := proxy.connect(conns["b"], "beta")
 				clients = append(clients, client)
 			}
-			proxy.reload(proxy.routing, `"routing":`+next+`,`)
-			proxy.waitForCounter("reloads=1")
+			proxy.editConfig(proxy.routing, `"routing":`+c.routing+`,`)
+			if c.hotRestart {
+				successor := proxy.startSuccessor()
+				proxy.waitForLog(logSuccessorServes)
+				proxy.stop()
+				successor.waitForCounter("taken_over=61")
+				proxy = successor
+			} else {
+				proxy.command.Process.Signal(syscall.SIGHUP)
+				proxy.waitForCounter("reloads=1")
+			}
 			draining := entries["b"]
 			draining.Lifecycle = "terminating"
 			start := time.Now()
