Move the schedule of a stop into a package of its own

internal/proxy is one package of some 6,000 lines. The part that decides when a process migrates clients, closes its listeners and exits is pure and knows nothing of the rest: internal/lifecycle. Names only are changed; its tests moved with it and check what they did.

--- a/internal/proxy/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -1,4 +1,6 @@
-package proxy
+// Package lifecycle decides when a proxy process migrates clients, closes its listeners and exits. It does no I/O and reads no
+// clock; callers pass in the time, as the duration since any fixed moment.
+package lifecycle
 
 import (
 	"time"
@@ -6,14 +8,11 @@
 	"example.org/micafront/balancer"
 )
 
-// The lifecycle decides when a process migrates clients, closes its listeners and exits. It does no I/O; callers pass in the
-// time.
-
 const (
 	// arrivalWindow is how long after the signal new connections still arrive.
 	arrivalWindow = 400 * time.Millisecond
-	// idleBeforeClose is how long no request must have arrived before the listeners close.
-	idleBeforeClose = 300 * time.Millisecond
+	// IdleBeforeClose is how long no request must have arrived before the listeners close.
+	IdleBeforeClose = 300 * time.Millisecond
 	// drainStepInterval is the time between the steps of an evacuation or a stop.
 	drainStepInterval = 50 * time.Millisecond
 	// maxCountedTimeout caps a class's timeout in the schedule.
@@ -32,8 +31,8 @@
 	signalOrderWindow = 500 * time.Millisecond
 )
 
-// shutdownSchedule holds the due times of the parts of a stop, counted from the signal.
-type shutdownSchedule struct {
+// Schedule holds the due times of the parts of a stop, counted from the signal.
+type Schedule struct {
 	migrateFrom time.Duration // migration of clients starts
 	migrateBy   time.Duration // end of migration at an even pace; later each step migrates all remaining clients
 	closeFrom   time.Duration // the listeners close from here on, once the process is idle
@@ -46,20 +45,20 @@
 	exitByEstablished time.Duration
 }
 
-// newShutdownSchedule computes the schedule from the settings alone. A request that arrives at the end of arrivalWindow still
+// NewSchedule computes the schedule from the settings alone. A request that arrives at the end of arrivalWindow still
 // has its whole timeout until answers are due, unless that timeout exceeds maxCountedTimeout.
-func newShutdownSchedule(settings balancer.Settings) shutdownSchedule {
+func NewSchedule(settings balancer.Settings) Schedule {
 	longest := time.Duration(0)
 	for _, class := range settings.Classes {
 		longest = max(longest, min(class.Timeout, maxCountedTimeout))
 	}
-	s := shutdownSchedule{
-		migrateFrom: (arrivalWindow + idleBeforeClose) / 2,
+	s := Schedule{
+		migrateFrom: (arrivalWindow + IdleBeforeClose) / 2,
 		killAt:      longest + killDelay,
 	}
 	s.migrateBy = max(min(longest, maxMigrationTime), s.migrateFrom)
 	s.answerBy = s.killAt - answersBeforeKill
-	s.closeFrom = min(arrivalWindow+idleBeforeClose, s.answerBy)
+	s.closeFrom = min(arrivalWindow+IdleBeforeClose, s.answerBy)
 	s.exitBy = s.killAt - exitBeforeKill
 	s.exitByEstablished = s.exitBy
 	if settings.PassThrough {
@@ -79,25 +78,32 @@
 	phaseExited          // the event loop stops
 )
 
-// lifecycle is the state machine of a process. Its zero value is phaseServing.
-type lifecycle struct {
+// Lifecycle is the state machine of a process. Its zero value is phaseServing.
+type Lifecycle struct {
+	NotReady bool // readiness checks fail
+
 	phase             phase
-	notReady          bool          // readiness checks fail
 	migratingSince    time.Duration // start of the evacuation or the stop
 	stopRequestedAt   time.Duration
 	listenersClosedAt time.Duration
-	schedule          shutdownSchedule // of the current stop; later settings do not postpone the kill
+	schedule          Schedule // of the current stop; later settings do not postpone the kill
 
-	formerSchedule    shutdownSchedule // from the settings before their last change
+	formerSchedule    Schedule // from the settings before their last change
 	scheduleChangedAt time.Duration
 }
 
-func (l *lifecycle) stopping() bool  { return l.phase >= phaseStopping }
-func (l *lifecycle) accepting() bool { return l.phase < phaseClosed }
+// Stopping reports whether a stop has begun.
+func (l *Lifecycle) Stopping() bool { return l.phase >= phaseStopping }
+
+// Accepting reports whether the listeners are still open.
+func (l *Lifecycle) Accepting() bool { return l.phase < phaseClosed }
+
+// AnswersWithin returns the time from the signal of the current stop until every request has its final answer.
+func (l *Lifecycle) AnswersWithin() time.Duration { return l.schedule.answerBy }
 
-// evacuate begins an evacuation. It reports whether the caller must start migrating clients.
-func (l *lifecycle) evacuate(now time.Duration) bool {
-	l.notReady = true
+// Evacuate begins an evacuation. It reports whether the caller must start migrating clients.
+func (l *Lifecycle) Evacuate(now time.Duration) bool {
+	l.NotReady = true
 	if l.phase != phaseServing {
 		return false
 	}
@@ -106,19 +112,19 @@
 	return true
 }
 
-// rejoin ends an evacuation. It reports whether the caller must stop migrating clients. It neither cancels a stop nor makes
+// Rejoin ends an evacuation. It reports whether the caller must stop migrating clients. It neither cancels a stop nor makes
 // a stopping process ready.
-func (l *lifecycle) rejoin() bool {
+func (l *Lifecycle) Rejoin() bool {
 	if l.phase != phaseEvacuated {
 		return false
 	}
 	l.phase = phaseServing
-	l.notReady = false
+	l.NotReady = false
 	return true
 }
 
-// recordScheduleChange records a change of the settings. former is the schedule of the settings that were active until now.
-func (l *lifecycle) recordScheduleChange(now time.Duration, former shutdownSchedule) {
+// RecordScheduleChange records a change of the settings. former is the schedule of the settings that were active until now.
+func (l *Lifecycle) RecordScheduleChange(now time.Duration, former Schedule) {
 	l.formerSchedule = l.stopSchedule(now, former)
 	l.scheduleChangedAt = now
 }
@@ -128,7 +134,7 @@
 // The order of a stop and a reload that are requested together is lost, because the kernel and the Go runtime deliver pending
 // signals by number, SIGHUP before SIGTERM. The kill may follow the settings before or after the reload, so the schedule with
 // the earlier kill applies.
-func (l *lifecycle) stopSchedule(now time.Duration, current shutdownSchedule) shutdownSchedule {
+func (l *Lifecycle) stopSchedule(now time.Duration, current Schedule) Schedule {
 	changedJustNow := now-l.scheduleChangedAt < signalOrderWindow
 	if changedJustNow && l.formerSchedule.killAt < current.killAt {
 		return l.formerSchedule
@@ -136,9 +142,9 @@
 	return current
 }
 
-// beginStop begins a stop. It returns false if one has begun already. current is the schedule of the active settings.
-func (l *lifecycle) beginStop(now time.Duration, current shutdownSchedule) bool {
-	if l.stopping() {
+// BeginStop begins a stop. It returns false if one has begun already. current is the schedule of the active settings.
+func (l *Lifecycle) BeginStop(now time.Duration, current Schedule) bool {
+	if l.Stopping() {
 		return false
 	}
 	if l.phase != phaseEvacuated {
@@ -150,11 +156,11 @@
 	return true
 }
 
-// migrationQuota returns how many of n clients this step migrates. current is the schedule of the active settings, which
+// MigrationQuota returns how many of n clients this step migrates. current is the schedule of the active settings, which
 // applies until a stop begins.
-func (l *lifecycle) migrationQuota(now time.Duration, current shutdownSchedule, n int) int {
+func (l *Lifecycle) MigrationQuota(now time.Duration, current Schedule, n int) int {
 	schedule := current
-	if l.stopping() {
+	if l.Stopping() {
 		schedule = l.schedule
 	}
 	elapsed := now - l.migratingSince
@@ -162,74 +168,75 @@
 		return 0
 	}
 	steps := max(int((schedule.migrateBy-elapsed)/drainStepInterval), 1)
-	return ceilDiv(n, steps)
+	return (n + steps - 1) / steps
 }
 
-// answersDue reports whether all final answers must be sent now.
-func (l *lifecycle) answersDue(now time.Duration) bool {
-	return l.stopping() && now-l.stopRequestedAt >= l.schedule.answerBy
+// AnswersDue reports whether all final answers must be sent now.
+func (l *Lifecycle) AnswersDue(now time.Duration) bool {
+	return l.Stopping() && now-l.stopRequestedAt >= l.schedule.answerBy
 }
 
-// tooLateToAttempt reports whether too little of a stop is left to attempt a request that arrives now.
-func (l *lifecycle) tooLateToAttempt(now time.Duration) bool {
-	return !l.accepting() || l.stopping() && now-l.stopRequestedAt >= l.schedule.answerBy-drainStepInterval
+// TooLateToAttempt reports whether too little of a stop is left to attempt a request that arrives now.
+func (l *Lifecycle) TooLateToAttempt(now time.Duration) bool {
+	return !l.Accepting() || l.Stopping() && now-l.stopRequestedAt >= l.schedule.answerBy-drainStepInterval
 }
 
-// boundDeadline returns a request's deadline, limited to the time when a stop's answers are due.
-func (l *lifecycle) boundDeadline(deadline time.Duration) time.Duration {
-	if l.stopping() {
+// BoundDeadline returns a request's deadline, limited to the time when a stop's answers are due.
+func (l *Lifecycle) BoundDeadline(deadline time.Duration) time.Duration {
+	if l.Stopping() {
 		return min(deadline, l.stopRequestedAt+l.schedule.answerBy)
 	}
 	return deadline
 }
 
-// shutdownState is the state of the proxy that a step of a stop depends on.
-type shutdownState struct {
-	answersPending bool          // a client waits for an answer of this process
-	established    bool          // connections are established
-	idleFor        time.Duration // time since the last request arrived
+// State is the state of the proxy that a step of a stop depends on.
+type State struct {
+	AnswersPending bool          // a client waits for an answer of this process
+	Established    bool          // connections are established
+	IdleFor        time.Duration // time since the last request arrived
 }
 
-// shutdownAction is the action of one step of a stop.
-type shutdownAction int
+// Action is the action of one step of a stop.
+type Action int
 
+// Actions of a step.
 const (
-	keepWaiting shutdownAction = iota
-	closeListeners
-	exitProcess
+	Wait           Action = iota // nothing is due
+	CloseListeners               // stop accepting
+	Exit                         // stop the event loop
 )
 
-// nextAction returns the action that is due now, and moves to the phase after it.
-func (l *lifecycle) nextAction(now time.Duration, state shutdownState) shutdownAction {
+// NextAction returns the action that is due now, and moves to the phase after it.
+func (l *Lifecycle) NextAction(now time.Duration, state State) Action {
 	elapsed := now - l.stopRequestedAt
-	busy := state.answersPending || state.established
+	busy := state.AnswersPending || state.Established
 	switch l.phase {
 	case phaseStopping:
-		idle := state.idleFor >= idleBeforeClose && !busy
+		idle := state.IdleFor >= IdleBeforeClose && !busy
 		if elapsed >= l.schedule.answerBy || elapsed >= l.schedule.closeFrom && idle {
 			l.phase = phaseClosed
 			l.listenersClosedAt = now
-			return closeListeners
+			return CloseListeners
 		}
 	case phaseClosed:
 		exitBy := l.schedule.exitBy
-		if state.established {
+		if state.Established {
 			exitBy = l.schedule.exitByEstablished
 		}
 		// Connections accepted last are read at least once: closing one with unread bytes would reset it.
 		readOnce := now-l.listenersClosedAt >= drainStepInterval
 		if readOnce && (elapsed >= exitBy || !busy) {
 			l.phase = phaseExited
-			return exitProcess
+			return Exit
 		}
 	}
-	return keepWaiting
+	return Wait
 }
 
-// stepDelay returns the time until the next step, which is no later than the next due time of the schedule.
-func (l *lifecycle) stepDelay(now time.Duration) time.Duration {
+// StepDelay returns the time until the next step, which is no later than the next due time of the schedule.
+func (l *Lifecycle) StepDelay(now time.Duration) time.Duration {
 	delay := drainStepInterval
-	if !l.stopping() {
+	if !l.Stopping() {
 		return delay
 	}
 	for _, due := range []time.Duration{l.schedule.answerBy, l.schedule.exitBy, l.schedule.exitByEstablished} {
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -1,4 +1,4 @@
-package proxy
+package lifecycle
 
 import (
 	"testing"
@@ -10,12 +10,12 @@
 )
 
 // scheduleOf returns the schedule of settings whose classes have these timeouts.
-func scheduleOf(passThrough bool, timeouts ...time.Duration) shutdownSchedule {
+func scheduleOf(passThrough bool, timeouts ...time.Duration) Schedule {
 	settings := balancer.Settings{PassThrough: passThrough}
 	for _, timeout := range timeouts {
 		settings.Classes = append(settings.Classes, balancer.Class{Timeout: timeout})
 	}
-	return newShutdownSchedule(settings)
+	return NewSchedule(settings)
 }
 
 // TestShutdownSchedule checks the schedule for several longest timeouts: the kill comes 0.7 s after the longest timeout, capped
@@ -38,7 +38,7 @@
 		{3000 * ms, 2300 * ms, 700 * ms, 3400 * ms, 3600 * ms, 3700 * ms},
 		{60000 * ms, 2300 * ms, 700 * ms, 3400 * ms, 3600 * ms, 3700 * ms},
 	} {
-		want := shutdownSchedule{
+		want := Schedule{
 			migrateFrom:       350 * ms,
 			migrateBy:         c.migrateBy,
 			closeFrom:         c.closeFrom,
@@ -47,9 +47,9 @@
 			killAt:            c.killAt,
 			exitByEstablished: c.exitBy,
 		}
-		testkit.Equal(t, c.timeout.String(), want, scheduleOf(false, 50*ms, c.timeout), cmp.AllowUnexported(shutdownSchedule{}))
+		testkit.Equal(t, c.timeout.String(), want, scheduleOf(false, 50*ms, c.timeout), cmp.AllowUnexported(Schedule{}))
 		want.exitByEstablished = 4700 * ms // past the latest kill
-		testkit.Equal(t, c.timeout.String()+", pass-through", want, scheduleOf(true, c.timeout), cmp.AllowUnexported(shutdownSchedule{}))
+		testkit.Equal(t, c.timeout.String()+", pass-through", want, scheduleOf(true, c.timeout), cmp.AllowUnexported(Schedule{}))
 		arrivals := 400 * ms
 		if c.answerBy < arrivals+min(c.timeout, 3*time.Second) || c.closeFrom <= arrivals {
 			t.Errorf("%v: the last request to arrive lacks time for its answer", c.timeout)
@@ -62,18 +62,18 @@
 	type result struct {
 		acts     bool
 		phase    phase
-		notReady bool
+		NotReady bool
 	}
 	const now = time.Hour
 	schedule := scheduleOf(false, time.Second)
-	events := map[string]func(*lifecycle) bool{
-		"evacuate":   func(l *lifecycle) bool { return l.evacuate(now) },
-		"rejoin":     func(l *lifecycle) bool { return l.rejoin() },
-		"begin stop": func(l *lifecycle) bool { return l.beginStop(now, schedule) },
+	events := map[string]func(*Lifecycle) bool{
+		"evacuate":   func(l *Lifecycle) bool { return l.Evacuate(now) },
+		"rejoin":     func(l *Lifecycle) bool { return l.Rejoin() },
+		"begin stop": func(l *Lifecycle) bool { return l.BeginStop(now, schedule) },
 	}
 	for _, c := range []struct {
 		from     phase
-		notReady bool
+		NotReady bool
 		event    string
 		want     result
 	}{
@@ -90,9 +90,9 @@
 		{phaseClosed, true, "rejoin", result{false, phaseClosed, true}},
 		{phaseClosed, true, "begin stop", result{false, phaseClosed, true}},
 	} {
-		l := &lifecycle{phase: c.from, notReady: c.notReady}
+		l := &Lifecycle{phase: c.from, NotReady: c.NotReady}
 		acts := events[c.event](l)
-		testkit.Equal(t, c.event, c.want, result{acts, l.phase, l.notReady}, cmp.AllowUnexported(result{}))
+		testkit.Equal(t, c.event, c.want, result{acts, l.phase, l.NotReady}, cmp.AllowUnexported(result{}))
 	}
 }
 
@@ -103,31 +103,31 @@
 	const now = time.Hour
 	short, long := scheduleOf(false, time.Second), scheduleOf(true, time.Minute)
 	for name, c := range map[string]struct {
-		changes []shutdownSchedule // the schedules before and after each change, a millisecond apart, the last one now
+		changes []Schedule // the schedules before and after each change, a millisecond apart, the last one now
 		stopAt  time.Duration
-		want    shutdownSchedule
+		want    Schedule
 	}{
-		"before any change":       {[]shutdownSchedule{long}, now, long},
-		"longer timeouts":         {[]shutdownSchedule{short, long}, now, short},
-		"shorter timeouts":        {[]shutdownSchedule{long, short}, now, short},
-		"the same timeouts":       {[]shutdownSchedule{long, scheduleOf(false, time.Minute)}, now, scheduleOf(false, time.Minute)},
-		"several changes":         {[]shutdownSchedule{long, short, long, long}, now, short},
-		"end of the window":       {[]shutdownSchedule{short, long}, now + signalOrderWindow - 1, short},
-		"after the window":        {[]shutdownSchedule{short, long}, now + signalOrderWindow, long},
-		"change after the signal": {[]shutdownSchedule{short, long}, now - 1, short},
+		"before any change":       {[]Schedule{long}, now, long},
+		"longer timeouts":         {[]Schedule{short, long}, now, short},
+		"shorter timeouts":        {[]Schedule{long, short}, now, short},
+		"the same timeouts":       {[]Schedule{long, scheduleOf(false, time.Minute)}, now, scheduleOf(false, time.Minute)},
+		"several changes":         {[]Schedule{long, short, long, long}, now, short},
+		"end of the window":       {[]Schedule{short, long}, now + signalOrderWindow - 1, short},
+		"after the window":        {[]Schedule{short, long}, now + signalOrderWindow, long},
+		"change after the signal": {[]Schedule{short, long}, now - 1, short},
 	} {
-		l := &lifecycle{}
+		l := &Lifecycle{}
 		current := c.changes[0]
 		for i, next := range c.changes[1:] {
 			changeAt := now - time.Duration(len(c.changes)-2-i)*time.Millisecond
 			if c.stopAt < changeAt {
-				l.beginStop(c.stopAt, current)
+				l.BeginStop(c.stopAt, current)
 			}
-			l.recordScheduleChange(changeAt, current)
+			l.RecordScheduleChange(changeAt, current)
 			current = next
 		}
-		l.beginStop(c.stopAt, current)
-		testkit.Equal(t, name, c.want, l.schedule, cmp.AllowUnexported(shutdownSchedule{}))
+		l.BeginStop(c.stopAt, current)
+		testkit.Equal(t, name, c.want, l.schedule, cmp.AllowUnexported(Schedule{}))
 	}
 }
 
@@ -139,43 +139,43 @@
 		passThrough bool
 		from        phase
 		elapsed     time.Duration // since the signal; the listeners closed one step ago
-		state       shutdownState
-		want        shutdownAction
+		state       State
+		want        Action
 	}{
-		"clients still arrive":        {elapsed: 699 * ms, from: phaseStopping, state: shutdownState{idleFor: long}, want: keepWaiting},
-		"idle":                        {elapsed: 700 * ms, from: phaseStopping, state: shutdownState{idleFor: long}, want: closeListeners},
-		"a request just arrived":      {elapsed: 700 * ms, from: phaseStopping, state: shutdownState{idleFor: 299 * ms}, want: keepWaiting},
-		"an answer is pending":        {elapsed: 1399 * ms, from: phaseStopping, state: shutdownState{idleFor: long, answersPending: true}, want: keepWaiting},
-		"connections are established": {elapsed: 1399 * ms, from: phaseStopping, state: shutdownState{idleFor: long, established: true}, want: keepWaiting},
-		"answers are due":             {elapsed: 1400 * ms, from: phaseStopping, state: shutdownState{answersPending: true, established: true}, want: closeListeners},
-		"nothing is left":             {elapsed: 800 * ms, from: phaseClosed, state: shutdownState{}, want: exitProcess},
-		"an answer is being read":     {elapsed: 1599 * ms, from: phaseClosed, state: shutdownState{answersPending: true}, want: keepWaiting},
-		"the exit is due":             {elapsed: 1600 * ms, from: phaseClosed, state: shutdownState{answersPending: true, established: true}, want: exitProcess},
-		"kept open until the kill":    {passThrough: true, elapsed: 4699 * ms, from: phaseClosed, state: shutdownState{established: true}, want: keepWaiting},
-		"not killed in time":          {passThrough: true, elapsed: 4700 * ms, from: phaseClosed, state: shutdownState{established: true}, want: exitProcess},
-		"no established connections":  {passThrough: true, elapsed: 1600 * ms, from: phaseClosed, state: shutdownState{answersPending: true}, want: exitProcess},
-		"serving":                     {elapsed: long, from: phaseServing, state: shutdownState{idleFor: long}, want: keepWaiting},
-		"evacuated":                   {elapsed: long, from: phaseEvacuated, state: shutdownState{idleFor: long}, want: keepWaiting},
+		"clients still arrive":        {elapsed: 699 * ms, from: phaseStopping, state: State{IdleFor: long}, want: Wait},
+		"idle":                        {elapsed: 700 * ms, from: phaseStopping, state: State{IdleFor: long}, want: CloseListeners},
+		"a request just arrived":      {elapsed: 700 * ms, from: phaseStopping, state: State{IdleFor: 299 * ms}, want: Wait},
+		"an answer is pending":        {elapsed: 1399 * ms, from: phaseStopping, state: State{IdleFor: long, AnswersPending: true}, want: Wait},
+		"connections are established": {elapsed: 1399 * ms, from: phaseStopping, state: State{IdleFor: long, Established: true}, want: Wait},
+		"answers are due":             {elapsed: 1400 * ms, from: phaseStopping, state: State{AnswersPending: true, Established: true}, want: CloseListeners},
+		"nothing is left":             {elapsed: 800 * ms, from: phaseClosed, state: State{}, want: Exit},
+		"an answer is being read":     {elapsed: 1599 * ms, from: phaseClosed, state: State{AnswersPending: true}, want: Wait},
+		"the exit is due":             {elapsed: 1600 * ms, from: phaseClosed, state: State{AnswersPending: true, Established: true}, want: Exit},
+		"kept open until the kill":    {passThrough: true, elapsed: 4699 * ms, from: phaseClosed, state: State{Established: true}, want: Wait},
+		"not killed in time":          {passThrough: true, elapsed: 4700 * ms, from: phaseClosed, state: State{Established: true}, want: Exit},
+		"no established connections":  {passThrough: true, elapsed: 1600 * ms, from: phaseClosed, state: State{AnswersPending: true}, want: Exit},
+		"serving":                     {elapsed: long, from: phaseServing, state: State{IdleFor: long}, want: Wait},
+		"evacuated":                   {elapsed: long, from: phaseEvacuated, state: State{IdleFor: long}, want: Wait},
 	} {
-		l := &lifecycle{phase: c.from, stopRequestedAt: time.Hour, schedule: scheduleOf(c.passThrough, time.Second)}
+		l := &Lifecycle{phase: c.from, stopRequestedAt: time.Hour, schedule: scheduleOf(c.passThrough, time.Second)}
 		l.listenersClosedAt = l.stopRequestedAt + c.elapsed - drainStepInterval
-		testkit.Equal(t, name, c.want, l.nextAction(l.stopRequestedAt+c.elapsed, c.state))
+		testkit.Equal(t, name, c.want, l.NextAction(l.stopRequestedAt+c.elapsed, c.state))
 	}
-	l := &lifecycle{phase: phaseClosed, listenersClosedAt: time.Hour}
-	testkit.Equal(t, "connections accepted last are not read yet", keepWaiting, l.nextAction(time.Hour+drainStepInterval-1, shutdownState{}))
+	l := &Lifecycle{phase: phaseClosed, listenersClosedAt: time.Hour}
+	testkit.Equal(t, "connections accepted last are not read yet", Wait, l.NextAction(time.Hour+drainStepInterval-1, State{}))
 }
 
 // TestShutdownBoundsDeadlines checks that a stop limits the deadlines of requests, and that a request with too little time
 // left is not attempted.
 func TestShutdownBoundsDeadlines(t *testing.T) {
-	l := &lifecycle{}
-	testkit.Equal(t, "serving", time.Hour, l.boundDeadline(time.Hour))
-	l.beginStop(time.Minute, scheduleOf(false, time.Second))
-	testkit.Equal(t, "stopping", time.Minute+1400*time.Millisecond, l.boundDeadline(time.Hour))
-	testkit.Equal(t, "earlier deadline", time.Minute+time.Second, l.boundDeadline(time.Minute+time.Second))
-	testkit.Equal(t, "in time", false, l.tooLateToAttempt(time.Minute+1349*time.Millisecond))
-	testkit.Equal(t, "too late", true, l.tooLateToAttempt(time.Minute+1350*time.Millisecond))
-	testkit.Equal(t, "the step is not later than the due time", 10*time.Millisecond, l.stepDelay(time.Minute+1390*time.Millisecond))
-	l = &lifecycle{phase: phaseClosed}
-	testkit.Equal(t, "closed", true, l.tooLateToAttempt(0))
+	l := &Lifecycle{}
+	testkit.Equal(t, "serving", time.Hour, l.BoundDeadline(time.Hour))
+	l.BeginStop(time.Minute, scheduleOf(false, time.Second))
+	testkit.Equal(t, "stopping", time.Minute+1400*time.Millisecond, l.BoundDeadline(time.Hour))
+	testkit.Equal(t, "earlier deadline", time.Minute+time.Second, l.BoundDeadline(time.Minute+time.Second))
+	testkit.Equal(t, "in time", false, l.TooLateToAttempt(time.Minute+1349*time.Millisecond))
+	testkit.Equal(t, "too late", true, l.TooLateToAttempt(time.Minute+1350*time.Millisecond))
+	testkit.Equal(t, "the step is not later than the due time", 10*time.Millisecond, l.StepDelay(time.Minute+1390*time.Millisecond))
+	l = &Lifecycle{phase: phaseClosed}
+	testkit.Equal(t, "closed", true, l.TooLateToAttempt(0))
 }
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -131,7 +131,7 @@
 		return false
 	}
 	s.handshake.readinessChecks++
-	ready := !p.drainer.notReady && !p.starting()
+	ready := !p.drainer.NotReady && !p.starting()
 	s.downstream.Write(p.protocol.ReadinessAnswer(ready))
 	return true
 }
--- a/internal/proxy/admin_api.go
+++ b/internal/proxy/admin_api.go
@@ -5,7 +5,7 @@
 // The methods below implement admin.Proxy.
 
 // Ready reports whether this process accepts clients and has a usable configuration.
-func (p *Proxy) Ready() bool { return p.drainer.accepting() && !p.starting() }
+func (p *Proxy) Ready() bool { return p.drainer.Accepting() && !p.starting() }
 
 // Telemetry returns all metrics, one name=value line per metric.
 func (p *Proxy) Telemetry() []byte {
@@ -25,14 +25,14 @@
 
 // Evacuate migrates clients to other proxies. Clients that connect anyway are served. Repeated calls have no effect.
 func (p *Proxy) Evacuate() {
-	if p.drainer.evacuate(p.loop.Now()) {
+	if p.drainer.Evacuate(p.loop.Now()) {
 		p.drainer.start()
 	}
 }
 
 // Rejoin ends an evacuation. It does not cancel a stop that has begun.
 func (p *Proxy) Rejoin() {
-	if p.drainer.rejoin() {
+	if p.drainer.Rejoin() {
 		p.drainer.cancel()
 	}
 }
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -27,7 +27,7 @@
 		s.reject(after, reasonPlacement)
 		return
 	}
-	if p.drainer.tooLateToAttempt(p.loop.Now()) { // the answer would not arrive before this process exits
+	if p.drainer.TooLateToAttempt(p.loop.Now()) { // the answer would not arrive before this process exits
 		s.reject(0, reasonStopping)
 		return
 	}
@@ -39,7 +39,7 @@
 	}
 	// The deadline counts from the request's arrival, even if the request waited to be read.
 	receivedAt := s.downstream.ReceivedAt()
-	s.deadline = p.drainer.boundDeadline(s.policyState.Deadline(receivedAt, receivedAt+request.Timeout))
+	s.deadline = p.drainer.BoundDeadline(s.policyState.Deadline(receivedAt, receivedAt+request.Timeout))
 	if request.Resumed {
 		p.counters.Resumed++
 	}
--- a/internal/proxy/idle_conns.go
+++ b/internal/proxy/idle_conns.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/lifecycle"
 	"example.org/micafront/internal/metrics"
 )
 
@@ -102,11 +103,11 @@
 }
 
 // expectsRequest reports whether a request may be in transit. It ignores clients that have sent only readiness checks,
-// and clients that have sent nothing for idleBeforeClose.
+// and clients that have sent nothing for lifecycle.IdleBeforeClose.
 func (c *idleConns) expectsRequest(now time.Duration) bool {
 	for element := c.waiting.Front(); element != nil; element = element.Next() {
 		s := element.Value.(*session)
-		if len(s.buffered) > 0 || s.handshake.readinessChecks == 0 && now-s.handshake.acceptedAt < idleBeforeClose {
+		if len(s.buffered) > 0 || s.handshake.readinessChecks == 0 && now-s.handshake.acceptedAt < lifecycle.IdleBeforeClose {
 			return true
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,7 +9,7 @@
 // outcomes.
 //
 // The other files maintain the state that requests depend on: pool_*.go the pools of the routing table, endpoint_list.go and
-// endpoint.go the endpoints. lifecycle.go schedules the steps of a stop and shutdown.go executes them. hotrestart_*.go hand
+// endpoint.go the endpoints. shutdown.go executes the steps of a stop, which package lifecycle schedules. hotrestart_*.go hand
 // over from one process to the next. config_subscriber.go, version_*.go and placement.go implement membership in a fleet.
 //
 // Each request is answered at most once. The answer asks the client to retry only if a repeat cannot execute the request twice
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -6,6 +6,7 @@
 
 	"example.org/micafront/balancer"
 	"example.org/micafront/internal/config"
+	"example.org/micafront/internal/lifecycle"
 	"example.org/micafront/internal/routing"
 	"go.uber.org/zap"
 )
@@ -67,7 +68,7 @@
 
 // applyConfig activates settings and routes, either of the configuration file or of a version of the fleet's configuration.
 func (p *Proxy) applyConfig(settings balancer.Settings, loadIsLatency bool, table *routing.Table) {
-	p.drainer.recordScheduleChange(p.loop.Now(), newShutdownSchedule(p.settings))
+	p.drainer.RecordScheduleChange(p.loop.Now(), lifecycle.NewSchedule(p.settings))
 	for _, class := range p.settings.Classes {
 		p.droppedClasses[class.Name] = class
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -7,6 +7,7 @@
 
 	"example.org/micafront/balancer"
 	"example.org/micafront/internal/evloop"
+	"example.org/micafront/internal/lifecycle"
 	"go.uber.org/zap"
 )
 
@@ -17,13 +18,13 @@
 	migrateClients(now time.Duration)
 	answerPendingRequests()
 	closeListeners()
-	shutdownState() shutdownState
+	shutdownState() lifecycle.State
 	exit()
 }
 
 // drainer migrates clients to other proxies during a stop or an evacuation. Its lifecycle decides the action of each step.
 type drainer struct {
-	lifecycle
+	lifecycle.Lifecycle
 	host          drainHost
 	loop          *evloop.Loop
 	timer         *evloop.Timer // for the next step; nil: no steps scheduled
@@ -40,20 +41,20 @@
 func (d *drainer) step() {
 	d.loop.SetTurnCause(turnDrain)
 	now := d.loop.Now()
-	if !d.stopping() || !d.host.transferConnections() {
+	if !d.Stopping() || !d.host.transferConnections() {
 		d.host.migrateClients(now)
 	}
-	if d.answersDue(now) {
+	if d.AnswersDue(now) {
 		d.host.answerPendingRequests()
 	}
-	switch d.nextAction(now, d.host.shutdownState()) {
-	case closeListeners:
+	switch d.NextAction(now, d.host.shutdownState()) {
+	case lifecycle.CloseListeners:
 		d.host.closeListeners()
-	case exitProcess:
+	case lifecycle.Exit:
 		d.host.exit()
 		return
 	}
-	d.timer = d.loop.After(d.stepDelay(now), d.step)
+	d.timer = d.loop.After(d.StepDelay(now), d.step)
 }
 
 // cancel stops the periodic steps.
@@ -67,8 +68,8 @@
 // from any goroutine; its error is that of evloop.Loop.Post.
 func (p *Proxy) Stop() error {
 	return p.loop.Post(func() {
-		if p.drainer.beginStop(p.loop.Now(), newShutdownSchedule(p.settings)) {
-			p.log.Info("shutdown started", zap.Duration("answers_within", p.drainer.schedule.answerBy))
+		if p.drainer.BeginStop(p.loop.Now(), lifecycle.NewSchedule(p.settings)) {
+			p.log.Info("shutdown started", zap.Duration("answers_within", p.drainer.AnswersWithin()))
 			p.restart.sendEstablishedEndpoints()
 			p.drainer.start()
 		}
@@ -76,7 +77,7 @@
 }
 
 // isStopping reports whether a stop has begun.
-func (p *Proxy) isStopping() bool { return p.drainer.stopping() }
+func (p *Proxy) isStopping() bool { return p.drainer.Stopping() }
 
 // migrateClients migrates this step's share of the established connections.
 func (p *Proxy) migrateClients(now time.Duration) {
@@ -84,7 +85,7 @@
 	if p.settings.PassThrough {
 		sessions = p.misplacedSessions()
 	}
-	quota := p.drainer.migrationQuota(now, newShutdownSchedule(p.settings), len(sessions))
+	quota := p.drainer.MigrationQuota(now, lifecycle.NewSchedule(p.settings), len(sessions))
 	for _, s := range slices.Clone(sessions[:quota]) {
 		p.counters.MigrationsShutdown++
 		s.migrate(balancer.Canceled)
@@ -146,12 +147,12 @@
 }
 
 // shutdownState returns the state that the next step of a stop depends on.
-func (p *Proxy) shutdownState() shutdownState {
+func (p *Proxy) shutdownState() lifecycle.State {
 	now := p.loop.Now()
-	return shutdownState{
-		idleFor:        now - p.drainer.lastRequestAt,
-		established:    len(p.sessions.established) > 0,
-		answersPending: p.idle.lingering.Len() > 0 || p.hasUnanswered() || p.idle.expectsRequest(now),
+	return lifecycle.State{
+		IdleFor:        now - p.drainer.lastRequestAt,
+		Established:    len(p.sessions.established) > 0,
+		AnswersPending: p.idle.lingering.Len() > 0 || p.hasUnanswered() || p.idle.expectsRequest(now),
 	}
 }
 
