Migrate a step's share of connections in one place

The steps that migrate a removed pool's connections and those that migrate unowned connections of a draining endpoint stood twice, with the same pace and an interval constant each. Both use poolSet.migrateShare now. The look whether a connection was closed while an earlier one was migrated, which only the later copy had, holds for both. poolSet.forTransfer asks which pool goes on only for a connection whose endpoint no pool owns, not for each that is taken over.

--- a/internal/proxy/pool_drain.go
+++ b/internal/proxy/pool_drain.go
@@ -6,14 +6,15 @@
 	"time"
 
 	"example.org/micafront/balancer"
+	"example.org/micafront/internal/metrics"
 )
 
 // A balancer migrates the connections of a draining endpoint if its pool owns the endpoint. A connection may be in another pool,
 // because a reload or a hot restart removed its pool, or changed which endpoints the pool selects. Such a connection is unowned.
 // Unowned connections of draining endpoints are migrated here, before the endpoints leave.
 
-// unownedDrainInterval is the time between the steps that migrate unowned connections.
-const unownedDrainInterval = 100 * time.Millisecond
+// migrationInterval is the time between the steps that migrate unowned connections, or those of a removed pool.
+const migrationInterval = 100 * time.Millisecond
 
 // drainUnowned starts the steps that migrate unowned connections of draining endpoints, unless they are running. It does nothing
 // if there are no such connections.
@@ -40,18 +41,20 @@
 		return
 	}
 	for _, e := range slices.SortedFunc(maps.Keys(unowned), compareEndpoints) {
-		ps.migrateUnowned(e, unowned[e])
+		leavesAt := e.drainingSince + ps.settings.activeSettings().Rules.DrainGrace
+		ps.migrateShare(unowned[e], leavesAt, &ps.counters.Migrations)
 	}
-	ps.loop.After(unownedDrainInterval, ps.unownedDrainStep)
+	ps.loop.After(migrationInterval, ps.unownedDrainStep)
 }
 
-// migrateUnowned migrates this step's share of the unowned connections of a draining endpoint.
-func (ps *poolSet) migrateUnowned(e *endpoint, sessions []*session) {
-	remaining := e.drainingSince + ps.settings.activeSettings().Rules.DrainGrace - ps.loop.Now()
-	steps := max(int(remaining/unownedDrainInterval), 1)
-	for _, s := range sessions[:ceilDiv(len(sessions), steps)] {
+// migrateShare migrates one step's share of established connections, so that an even pace migrates all of them by deadline. It
+// counts them in migrations.
+func (ps *poolSet) migrateShare(sessions []*session, deadline time.Duration, migrations *metrics.Counter) {
+	steps := max(int((deadline-ps.loop.Now())/migrationInterval), 1)
+	share := (len(sessions) + steps - 1) / steps // rounded up
+	for _, s := range sessions[:share] {
 		if s.downstreamState() == stateRelaying { // otherwise it was closed while an earlier one was migrated
-			ps.counters.Migrations++
+			*migrations++
 			s.migrate(balancer.Canceled)
 		}
 	}
--- a/internal/proxy/pool_reload.go
+++ b/internal/proxy/pool_reload.go
@@ -10,9 +10,6 @@
 	"go.uber.org/zap"
 )
 
-// retireInterval is the time between the steps that migrate a removed pool's connections.
-const retireInterval = 100 * time.Millisecond
-
 // applyTable switches to another routing table within one turn of the event loop. Pools that the table keeps, under their name
 // or a former one, retain their balancers' state. On an error nothing changes.
 func (ps *poolSet) applyTable(table *routing.Table) error {
@@ -113,18 +110,11 @@
 			remaining = append(remaining, s)
 		}
 	}
-	steps := max(int((pool.retireBy-ps.loop.Now())/retireInterval), 1)
-	for _, s := range remaining[:ceilDiv(len(remaining), steps)] {
-		ps.counters.MigrationsRetired++
-		s.migrate(balancer.Canceled)
-	}
+	ps.migrateShare(remaining, pool.retireBy, &ps.counters.MigrationsRetired)
 	if len(remaining) == 0 && pool.usage.Waiting == 0 {
 		ps.retired = slices.DeleteFunc(ps.retired, func(other *endpointPool) bool { return other == pool })
 		ps.log.Info("removed pool has no connections left", zap.String("pool", pool.name))
 		return
 	}
-	ps.loop.After(retireInterval, func() { ps.retireStep(pool) })
+	ps.loop.After(migrationInterval, func() { ps.retireStep(pool) })
 }
-
-// ceilDiv returns n/d, rounded up.
-func ceilDiv(n, d int) int { return (n + d - 1) / d }
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -118,9 +118,10 @@
 // forTransfer returns the pool of a predecessor's connection: the owner of its endpoint, or else the pool that continues the
 // predecessor's pool.
 func (ps *poolSet) forTransfer(formerPool, endpointID string) *endpointPool {
-	continuing := routing.SuccessorsOf([]string{formerPool}, &ps.table.Set)[0]
-	if ps.membership.PoolOf(endpointID) < 0 && continuing >= 0 {
-		return ps.active[continuing]
+	if ps.membership.PoolOf(endpointID) < 0 {
+		if continuing := routing.SuccessorsOf([]string{formerPool}, &ps.table.Set)[0]; continuing >= 0 {
+			return ps.active[continuing]
+		}
 	}
 	return ps.forEndpoint(endpointID)
 }
