--- a/review/standins/rollback.go
+++ b/review/standins/rollback.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,6 +31,22 @@
 	up, busy, failed, unanswered int
 }
 
+// count counts a first line, or the error in its place.
+func (t *answerTally) count(line string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err != nil:
+		t.unanswered++
+	case strings.HasPrefix(line, "UP "):
+		t.up++
+	case strings.HasPrefix(line, "BUSY"):
+		t.busy++
+	default:
+		t.failed++
+	}
+}
+
 // playRollback starts a successor beside a serving proxy and, once it serves, ends the successor again by SIGTERM. Each
 // request needs its final answer within its time and half a second.
 func playRollback(w *world) error {
@@ -44,31 +58,11 @@
 		}
 		d.set(e.entry)
 	}
-	discoveryAddr, err := d.listen("proxy")
-	if err != nil {
-		return err
-	}
-	addrs, err := freeAddrs(1)
-	if err != nil {
-		return err
-	}
 	known, _ := d.since(0)
-	text, err := proxyFile("n1", addrs[0], discoveryAddr, known, albumSettings(1, 0), "")
+	old, err := w.startSingle(d, known)
 	if err != nil {
 		return err
 	}
-	config := filepath.Join(w.dir, "config.json")
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		return err
-	}
-	env := []string{"EDGE_CONFIG=" + config, "TMPDIR=" + w.dir}
-	old, err := w.start("old", "exec bin/micafront", env...)
-	if err != nil {
-		return err
-	}
-	if err := old.await("serves at"); err != nil {
-		return err
-	}
 	var tally answerTally
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -76,14 +70,14 @@
 		for n := 1; ; n++ {
 			select {
 			case <-time.After(rollbackClients):
-				clients.Go(func() { rollbackClient(w, addrs[0], n, stop, &tally) })
+				clients.Go(func() { rollbackClient(w, old.addr, n, stop, &tally) })
 			case <-stop:
 				return
 			}
 		}
 	})
 	time.Sleep(rollbackSettle)
-	next, err := w.start("new", "exec bin/micafront", env...)
+	next, err := w.start("new", "exec bin/micafront", old.env...)
 	if err != nil {
 		return err
 	}
@@ -109,11 +103,6 @@
 
 // rollbackClient is one client: it sends its first line and waits for the answer. Once it is served it sends a line every 2 s.
 func rollbackClient(w *world, addr string, n int, stop <-chan struct{}, tally *answerTally) {
-	count := func(counter *int) {
-		tally.mu.Lock()
-		defer tally.mu.Unlock()
-		*counter++
-	}
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		w.logf("client %d: %v", n, err)
@@ -136,18 +125,11 @@
 	reader := bufio.NewReader(conn)
 	line, err := reader.ReadString('\n')
 	took := time.Since(sent)
-	switch {
-	case err != nil:
-		count(&tally.unanswered)
+	tally.count(line, err)
+	if err != nil {
 		w.breakRule("client %d: no final answer %.3f s after its line, which said d=%d: %v", n, took.Seconds(),
 			wait.Milliseconds(), err)
 		return
-	case strings.HasPrefix(line, "UP "):
-		count(&tally.up)
-	case strings.HasPrefix(line, "BUSY"):
-		count(&tally.busy)
-	default:
-		count(&tally.failed)
 	}
 	w.logf("client %d got %q after %.3f s", n, line, took.Seconds())
 	if !strings.HasPrefix(line, "UP ") {
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -4,8 +4,10 @@
 package main
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -233,3 +235,54 @@
 
 // caseTimeout is below the 120 s that a case may take.
 const caseTimeout = 110 * time.Second
+
+// single is a proxy that is in no fleet.
+type single struct {
+	*process
+	addr   string
+	config string // path of its file
+	env    []string
+}
+
+// startSingle starts a proxy with a known list, and waits until it answers a readiness check as the front sends it.
+func (w *world) startSingle(d *discovery, known list) (*single, error) {
+	discoveryAddr, err := d.listen("n1")
+	if err != nil {
+		return nil, err
+	}
+	addrs, err := freeAddrs(1)
+	if err != nil {
+		return nil, err
+	}
+	p := &single{addr: addrs[0], config: filepath.Join(w.dir, "config.json")}
+	text, err := proxyFile("n1", p.addr, discoveryAddr, known, albumSettings(1, 0), "")
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	p.env = []string{"EDGE_CONFIG=" + p.config, "TMPDIR=" + w.dir}
+	if p.process, err = w.start("old", "exec bin/micafront", p.env...); err != nil {
+		return nil, err
+	}
+	return p, eventually(startTimeout, func() error { return ping(p.addr) })
+}
+
+// ping sends a readiness check.
+func ping(addr string) error {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(conn, "PING\r\n"); err != nil {
+		return err
+	}
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err == nil && line != "PONG\r\n" {
+		err = fmt.Errorf("PING was answered %q", line)
+	}
+	return err
+}
