--- a/review/standins/reattach.go
+++ b/review/standins/reattach.go
@@ -35,7 +35,7 @@
 	if !w.trouble {
 		known, _ = d.since(0)
 	}
-	p, err := w.startSingle(d, known)
+	p, err := w.startSingle(d, known, "")
 	if err != nil {
 		return err
 	}
--- a/review/standins/rollback.go
+++ b/review/standins/rollback.go
@@ -59,7 +59,7 @@
 		d.set(e.entry)
 	}
 	known, _ := d.since(0)
-	old, err := w.startSingle(d, known)
+	old, err := w.startSingle(d, known, "")
 	if err != nil {
 		return err
 	}
--- a/review/standins/sockets.go
+++ b/review/standins/sockets.go
@@ -37,7 +37,7 @@
 		d.set(e.entry)
 	}
 	known, _ := d.since(0)
-	p, err := w.startSingle(d, known)
+	p, err := w.startSingle(d, known, "")
 	if err != nil {
 		return err
 	}
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -244,8 +244,8 @@
 	env    []string
 }
 
-// startSingle starts a proxy with a known list, and waits until it answers a readiness check as the front sends it.
-func (w *world) startSingle(d *discovery, known list) (*single, error) {
+// startSingle starts a proxy with a known list and further members of its file (see proxyFile), and waits until it answers a readiness check as the front sends it.
+func (w *world) startSingle(d *discovery, known list, members string) (*single, error) {
 	discoveryAddr, err := d.listen("n1")
 	if err != nil {
 		return nil, err
@@ -255,7 +255,7 @@
 		return nil, err
 	}
 	p := &single{addr: addrs[0], config: filepath.Join(w.dir, "config.json")}
-	text, err := proxyFile("n1", p.addr, discoveryAddr, known, albumSettings(1, 0), "")
+	text, err := proxyFile("n1", p.addr, discoveryAddr, known, albumSettings(1, 0), members)
 	if err != nil {
 		return nil, err
 	}
