--- a/review/standins/conflict.go
+++ b/review/standins/conflict.go
@@ -52,7 +52,7 @@
 				proxy, id, e.ID, at.Sub(switchedAt).Seconds())
 		}
 	}
-	d := newDiscovery(w, 0)
+	d := newDiscovery(w)
 	for _, zone := range []string{"a", "b", "c"} {
 		e, err := newEndpoint(w, "s-"+zone, onOpen)
 		if err != nil {
@@ -68,7 +68,7 @@
 	if err := f.startReplicas(); err != nil {
 		return err
 	}
-	settings := strings.Replace(albumSettings(2, 0), `"Zone":"thies","Azs":["thies"]`, `"Zone":"a","Azs":["a","b","c"]`, 1)
+	settings := strings.Replace(albumSettings(2), `"Zone":"thies","Azs":["thies"]`, `"Zone":"a","Azs":["a","b","c"]`, 1)
 	if err := f.propose("first", settings, overflowRoutes("b")); err != nil {
 		return err
 	}
--- a/review/standins/deadsuccessor.go
+++ b/review/standins/deadsuccessor.go
@@ -42,7 +42,7 @@
 		run.since = time.Time{} // an attempt
 		run.count = 0
 	}
-	d := newDiscovery(w, 0)
+	d := newDiscovery(w)
 	for _, id := range []string{"s-1", "s-2", "s-3"} {
 		e, err := newEndpoint(w, id, onOpen)
 		if err != nil {
@@ -57,7 +57,7 @@
 	if err := f.startReplicas(); err != nil {
 		return err
 	}
-	if err := f.propose("first", albumSettings(1, 0), ""); err != nil {
+	if err := f.propose("first", albumSettings(1), ""); err != nil {
 		return err
 	}
 	addr, err := d.listen("n1")
@@ -65,7 +65,7 @@
 		return err
 	}
 	known, _ := d.since(0)
-	if err := f.addProxy("n1", addr, known, albumSettings(1, 0), ""); err != nil {
+	if err := f.addProxy("n1", addr, known, albumSettings(1), ""); err != nil {
 		return err
 	}
 	if err := f.awaitTelemetry(0, "svc.fleet.state", "leased", 10*time.Second); err != nil {
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -78,10 +78,10 @@
 	return nil
 }
 
-// call sends a request to a replica and returns its answer.
-func (f *fleet) call(i int, method, path, body string) (status int, text string, err error) {
+// call sends a request to the first replica and returns its answer.
+func (f *fleet) call(method, path, body string) (status int, text string, err error) {
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(method, "http://"+f.replicaAddrs[i]+path, bytes.NewBufferString(body))
+	req, err := http.NewRequest(method, "http://"+f.replicaAddrs[0]+path, bytes.NewBufferString(body))
 	if err != nil {
 		return 0, "", err
 	}
@@ -102,7 +102,7 @@
 	body := fmt.Sprintf(`{"id":%q,"by":"operator","why":"test","body":{"settings":%s%s,"list_floor":0,
 "fleet":{"within_us":2000000,"know_us":10000000,"on_silence":"hold","drift_ppm":1000}}}`, id, settings, routing)
 	return eventually(10*time.Second, func() error {
-		status, text, err := f.call(0, http.MethodPost, "/v1/propose", body)
+		status, text, err := f.call(http.MethodPost, "/v1/propose", body)
 		if err == nil && status != http.StatusOK {
 			err = fmt.Errorf("propose: %d %s", status, text)
 		}
--- a/review/standins/listeners.go
+++ b/review/standins/listeners.go
@@ -30,7 +30,7 @@
 // playListeners changes the addresses of two listeners in the file and upgrades the proxy by a hot restart. From then on the clients
 // of each address have to be served by the pool of the listener that the file has there.
 func playListeners(w *world) error {
-	d := newDiscovery(w, 0)
+	d := newDiscovery(w)
 	for _, zone := range []string{"a", "b"} {
 		e, err := newEndpoint(w, "s-"+zone, func(*endpoint, string, time.Time) {})
 		if err != nil {
--- a/review/standins/onepool.go
+++ b/review/standins/onepool.go
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	d := newDiscovery(w, 0)
+	d := newDiscovery(w)
 	for _, zone := range []string{"a", "b"} {
 		for i := range 2 {
 			e, err := newEndpoint(w, fmt.Sprint("s-", zone, i+1), onOpen)
--- a/review/standins/peers.go
+++ b/review/standins/peers.go
@@ -37,7 +37,6 @@
 // discovery is service discovery. Each caller gets a listener of its own, so that what it was told is known by caller.
 type discovery struct {
 	world *world
-	delay time.Duration // before a call is answered
 
 	mu         sync.Mutex
 	generation int
@@ -47,8 +46,8 @@
 	told       map[string]map[string]time.Time
 }
 
-func newDiscovery(w *world, delay time.Duration) *discovery {
-	return &discovery{world: w, delay: delay, generation: 1, entries: map[string]entry{}, changedIn: map[string]int{},
+func newDiscovery(w *world) *discovery {
+	return &discovery{world: w, generation: 1, entries: map[string]entry{}, changedIn: map[string]int{},
 		changed: make(chan struct{}), told: map[string]map[string]time.Time{}}
 }
 
@@ -121,7 +120,6 @@
 
 func (d *discovery) serve(caller string, w http.ResponseWriter, r *http.Request) {
 	d.world.logf("discovery: %s calls %s", caller, r.URL)
-	time.Sleep(d.delay)
 	w.Header().Set("Content-Type", "application/json")
 	watch := r.FormValue("watch") == "1"
 	from, _ := strconv.Atoi(r.FormValue("from")) // 0, the whole list, where it is missing
@@ -239,8 +237,8 @@
 }
 
 // albumSettings returns settings with the first site's class, times and limits.
-func albumSettings(proxies, number int) string {
-	return fmt.Sprintf(`{"Balancers":%d,"Me":%d,"Zone":"thies","Azs":["thies"],"Layer":0,"Layers":["feed-servers"],
+func albumSettings(proxies int) string {
+	return fmt.Sprintf(`{"Balancers":%d,"Me":0,"Zone":"thies","Azs":["thies"],"Layer":0,"Layers":["feed-servers"],
 "Discovery":"subscribe","ServiceType":"conn","CountedBy":"request","WeightSource":"nominal","MachineTypes":["m1"],
 "Categories":[{"Name":"album-feed","Aim":0.3,"GiveUp":1.8,"Credit":5,"Effect":"safe","DedupScope":"all","MemorySpan":5,
 "LateShare":0,"Streaming":true}],"Callers":{"MarksRetry":true},"Customers":[],"OverShareWorth":0.1,
@@ -248,5 +246,30 @@
 "Limits":{"AttemptsCap":6,"ConnIdle":60,"ConnectTimeout":0.2,"CpuUsPerRequest":0,"CpuUsPerS":12000,"MaxOpen":1500000,
 "MaxRetryAfter":1,"MayCancel":true,"Peers":false,"Probes":true,"RetryAfter":true,"SecondCopies":false,"StreamsPerConn":1048576},
 "Invariants":{"AnswerSlack":0.016,"AskEvery":10,"Cold":8.9,"ColdFrom":0.3,"DrainGrace":3,"Fall":1,"OverloadFactor":3},
-"Stats":{"Fields":[],"How":"none"}}`, proxies, number)
+"Stats":{"Fields":[],"How":"none"}}`, proxies)
+}
+
+// lineInterval is the time between two lines of a client on its established connection.
+const lineInterval = 2 * time.Second
+
+// answerTally counts how clients were answered.
+type answerTally struct {
+	mu                           sync.Mutex
+	up, busy, failed, unanswered int
+}
+
+// count counts a first line, or the error in its place.
+func (t *answerTally) count(line string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err != nil:
+		t.unanswered++
+	case strings.HasPrefix(line, "UP "):
+		t.up++
+	case strings.HasPrefix(line, "BUSY"):
+		t.busy++
+	default:
+		t.failed++
+	}
 }
--- a/review/standins/reattach.go
+++ b/review/standins/reattach.go
@@ -20,7 +20,7 @@
 // playReattach starts a proxy whose known list is older than discovery's: it lacks an endpoint that has joined since. Clients
 // whose connections were open at that endpoint come with at=. Each has to be up within 40 s.
 func playReattach(w *world) error {
-	d := newDiscovery(w, 0)
+	d := newDiscovery(w)
 	var endpoints []*endpoint
 	for _, id := range []string{"s-1", "s-2", "s-3"} {
 		e, err := newEndpoint(w, id, func(*endpoint, string, time.Time) {})
--- a/review/standins/sockets.go
+++ b/review/standins/sockets.go
@@ -28,7 +28,7 @@
 // playSockets lowers limits.sockets of a serving proxy from 1,024 to 512 by a new file and SIGHUP, while it holds more descriptors
 // than that. Each request needs its final answer within its time and half a second.
 func playSockets(w *world) error {
-	d := newDiscovery(w, 0)
+	d := newDiscovery(w)
 	for _, id := range []string{"s-1", "s-2", "s-3"} {
 		e, err := newEndpoint(w, id, func(*endpoint, string, time.Time) {})
 		if err != nil {
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -255,7 +255,7 @@
 		return nil, err
 	}
 	p := &single{addr: addrs[0], config: filepath.Join(w.dir, "config.json")}
-	text, err := proxyFile("n1", p.addr, discoveryAddr, known, albumSettings(1, 0), members)
+	text, err := proxyFile("n1", p.addr, discoveryAddr, known, albumSettings(1), members)
 	if err != nil {
 		return nil, err
 	}
